--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+DEPLOYMENT ?= sawari
+SEEDS ?= 20
+STAMP := $(VENV)/.installed
+
+.PHONY: try test lint format bench faults slopes install
+
+install: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	python3 -m venv $(VENV)
+	$(PY) -m pip install -q --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+try: $(STAMP)
+	$(PY) -m catkincrank try --deployment $(DEPLOYMENT)
+
+test: $(STAMP)
+	$(PY) -m pytest
+
+lint: $(STAMP)
+	$(PY) -m ruff format --check .
+	$(PY) -m ruff check .
+	$(PY) -m flake8 .
+
+format: $(STAMP)
+	$(PY) -m ruff check --fix .
+	$(PY) -m ruff format .
+
+bench: $(STAMP)
+	$(PY) -m benchmarks.run $(if $(QUICK),--quick)
+
+faults: $(STAMP)
+	$(PY) -m benchmarks.faults --seeds $(SEEDS)
+
+slopes: $(STAMP)
+	$(PY) -m benchmarks.slopes
--- /dev/null
+++ b/catkincrank/endpoint.py
@@ -0,0 +1,219 @@
+"""Drivers for endpoints: how the product talks to one instance of a group."""
+
+import enum
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import final
+
+from catkincrank.history import LogMark
+from catkincrank.instance import Ballot, InstanceStatus
+from catkincrank.registry import Registry
+
+__all__ = (
+    'Answer',
+    'Column',
+    'Credential',
+    'Description',
+    'Driver',
+    'EndpointAddress',
+    'EndpointConnection',
+    'StatementError',
+    'TransactionStatus',
+    'drivers',
+)
+
+
+@final
+class TransactionStatus(enum.StrEnum):
+    """Transaction state of a connection, by PostgreSQL's letters."""
+
+    IDLE = 'I'
+    OPEN = 'T'
+    FAILED = 'E'
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class EndpointAddress:
+    """Where an endpoint listens.
+
+    Attributes:
+        endpoint: Name of the endpoint within its service.
+        host: IP number.
+        port: TCP port.
+    """
+
+    endpoint: str
+    host: str
+    port: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Credential:
+    """How to log in to an endpoint; the password never appears in a repr."""
+
+    user: str
+    password: str
+    database: str
+
+    def __repr__(self) -> str:
+        return 'Credential(user={0!r}, database={1!r})'.format(
+            self.user,
+            self.database,
+        )
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Column:
+    """A result column: its name and PostgreSQL type OID."""
+
+    name: str
+    oid: int
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Description:
+    """Shape of a statement.
+
+    Attributes:
+        parameter_oids: Type OID of each parameter.
+        columns: Result columns; ``None`` when the statement returns no rows.
+    """
+
+    parameter_oids: tuple[int, ...]
+    columns: tuple[Column, ...] | None
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A whole answer to one statement.
+
+    Attributes:
+        command: Command tag, e.g. ``'UPDATE 1'``.
+        columns: Result columns; ``None`` when the statement returns no rows.
+        rows: Rows of values in PostgreSQL's text form; ``None`` is NULL.
+        transaction: Transaction state after the statement.
+    """
+
+    command: str
+    columns: tuple[Column, ...] | None
+    rows: tuple[tuple[str | None, ...], ...]
+    transaction: TransactionStatus
+
+
+@final
+class StatementError(Exception):
+    """The endpoint ran the statement and reported an error.
+
+    Args:
+        sqlstate: The endpoint's SQLSTATE.
+        message: Its message.
+        fields: Further fields of the error by their one-letter codes.
+        transaction: Transaction state after the error.
+    """
+
+    def __init__(
+        self,
+        sqlstate: str,
+        message: str,
+        fields: dict[str, str],
+        transaction: TransactionStatus,
+    ) -> None:
+        super().__init__(message)
+        self.sqlstate = sqlstate
+        self.message = message
+        self.fields = fields
+        self.transaction = transaction
+
+
+class EndpointConnection(ABC):
+    """One connection to one instance.
+
+    Every method raises ``EndpointError`` when the connection failed; it must
+    then be closed. A cancelled call leaves the connection unusable.
+    """
+
+    incarnation: str
+
+    @abstractmethod
+    async def execute(
+        self,
+        sql: str,
+        params: Sequence[str | None] = (),
+    ) -> Answer:
+        """Run one statement with ``$1``-style parameters in text form.
+
+        Raises:
+            StatementError: The endpoint refused or failed the statement.
+            EndpointError: No whole answer came.
+        """
+
+    @abstractmethod
+    async def describe(self, sql: str) -> Description:
+        """Return the shape of a statement without running it."""
+
+    @abstractmethod
+    async def commit(self) -> LogMark | None:
+        """Commit, and return a mark no earlier than the transaction's end."""
+
+    @abstractmethod
+    async def fetch_status(self) -> InstanceStatus:
+        """Return the instance's status."""
+
+    @abstractmethod
+    async def seal(self, ballot: Ballot) -> InstanceStatus:
+        """Promise ``ballot``: stop following and taking writes of older terms.
+
+        The instance refuses when it has promised a higher ballot; the status
+        returned says which ballot it holds afterwards.
+        """
+
+    @abstractmethod
+    async def promote(self, ballot: Ballot) -> InstanceStatus:
+        """Begin ``ballot.term`` as primary, if sealed to just that ballot."""
+
+    @abstractmethod
+    async def follow(
+        self,
+        primary: EndpointAddress,
+        ballot: Ballot,
+    ) -> InstanceStatus:
+        """Stream from ``primary`` in ``ballot.term``; drop what it lacks."""
+
+    @abstractmethod
+    async def terminate(self, application: str) -> int:
+        """End other connections of ``application``; return how many."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close without waiting for the endpoint."""
+
+    @property
+    @abstractmethod
+    def transaction(self) -> TransactionStatus:
+        """The transaction state that the endpoint reported last."""
+
+
+class Driver(ABC):
+    """Opens connections to endpoints of one kind."""
+
+    @abstractmethod
+    async def connect(
+        self,
+        address: EndpointAddress,
+        credential: Credential,
+        application: str,
+    ) -> EndpointConnection:
+        """Open a connection that names itself ``application``.
+
+        Raises:
+            EndpointError: The endpoint could not be reached or refused.
+        """
+
+
+drivers: Registry[type[Driver]] = Registry('endpoint driver')
