Add the PostgreSQL driver and stand-in endpoints

The product needs instances to talk to. The driver works on libpq without cursors so that no value is altered; the stand-in answers the same statements over pg-mimic and sqlite3, ships a log and can be killed, frozen and cut off.

--- a/catkincrank/endpoints/__init__.py
+++ b/catkincrank/endpoints/__init__.py
@@ -1,1 +1,5 @@
-"""Package of endpoints."""
+"""Drivers for endpoints; importing the package fills their registry."""
+
+from catkincrank.endpoints import postgres
+
+__all__ = ('postgres',)
--- /dev/null
+++ b/catkincrank/endpoints/postgres.py
@@ -0,0 +1,252 @@
+"""Driver for PostgreSQL: term is the timeline, position is the LSN."""
+
+from collections import OrderedDict
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from typing import final
+
+import anyio
+from psycopg import pq
+from psycopg.conninfo import make_conninfo
+
+from catkincrank.endpoint import (
+    Answer,
+    Credential,
+    Description,
+    Driver,
+    EndpointAddress,
+    EndpointConnection,
+    StatementError,
+    TransactionStatus,
+    drivers,
+)
+from catkincrank.endpoints import libpq, statements
+from catkincrank.endpoints.conninfo import (
+    Upstream,
+    format_upstream,
+    quote_literal,
+)
+from catkincrank.endpoints.status import read_status
+from catkincrank.errors import EndpointError
+from catkincrank.history import LogMark
+from catkincrank.instance import Ballot, InstanceStatus, Role
+
+__all__ = ('PostgresConnection', 'PostgresDriver')
+
+_DESCRIPTIONS_KEPT = 512
+_RECEIVER_POLL_S = 0.02
+_RECEIVER_POLLS = 100
+_ROLLED_BACK = 'ROLLBACK'
+
+
+@final
+class PostgresConnection(EndpointConnection):
+    """A connection to one PostgreSQL instance.
+
+    Args:
+        pgconn: The open connection.
+        endpoint: Name of the endpoint.
+        incarnation: The instance's start time.
+    """
+
+    def __init__(
+        self,
+        pgconn: pq.abc.PGconn,
+        endpoint: str,
+        incarnation: str = '',
+    ) -> None:
+        self.incarnation = incarnation
+        self._pgconn = pgconn
+        self._endpoint = endpoint
+        self._descriptions: OrderedDict[str, Description] = OrderedDict()
+
+    async def execute(
+        self,
+        sql: str,
+        params: Sequence[str | None] = (),
+    ) -> Answer:
+        """Run one statement; see the base class."""
+        libpq.check_connection(self._pgconn)
+        libpq.send_statement(self._pgconn, sql, params)
+        results = await libpq.fetch_results(self._pgconn)
+        return libpq.read_answer(self._pgconn, results[-1])
+
+    async def describe(self, sql: str) -> Description:
+        """Return the shape of a statement; shapes are kept per connection."""
+        known = self._descriptions.get(sql)
+        if known is not None:
+            self._descriptions.move_to_end(sql)
+            return known
+        found = await self._describe_new(sql)
+        self._descriptions[sql] = found
+        if len(self._descriptions) > _DESCRIPTIONS_KEPT:
+            self._descriptions.popitem(last=False)
+        return found
+
+    async def commit(self) -> LogMark | None:
+        """Commit and read the log mark in one round trip.
+
+        Returns:
+            The mark; ``None`` when the transaction had failed and was rolled
+            back, or when the instance is a replica.
+        """
+        libpq.check_connection(self._pgconn)
+        self._pgconn.enter_pipeline_mode()
+        libpq.send_statement(self._pgconn, statements.COMMIT, ())
+        libpq.send_statement(self._pgconn, statements.MARK, ())
+        self._pgconn.pipeline_sync()
+        committed, marked = await self._fetch_pair()
+        if committed.command.startswith(_ROLLED_BACK):
+            return None
+        term, position = marked.rows[0]
+        if term is None or position is None:
+            return None
+        return LogMark(int(term), int(position))
+
+    async def fetch_status(self) -> InstanceStatus:
+        """Return the instance's status."""
+        answer = await self.execute(statements.STATUS)
+        return read_status(self._endpoint, answer)
+
+    async def seal(self, ballot: Ballot) -> InstanceStatus:
+        """Promise ``ballot``; see the base class."""
+        async with self._locked():
+            status = await self.fetch_status()
+            if status.sealed is None or status.sealed < ballot:
+                await self._execute_all(
+                    _configure(Upstream(None, ballot)),
+                    *_stop_writes(status.role),
+                )
+        return await self._fetch_settled_status()
+
+    async def promote(self, ballot: Ballot) -> InstanceStatus:
+        """Begin ``ballot.term``; see the base class."""
+        async with self._locked():
+            status = await self.fetch_status()
+            if status.sealed == ballot and not status.follows:
+                await self._execute_all(
+                    statements.PROMOTE,
+                    statements.READ_ONLY_OFF,
+                    statements.RELOAD,
+                )
+        return await self.fetch_status()
+
+    async def follow(
+        self,
+        primary: EndpointAddress,
+        ballot: Ballot,
+    ) -> InstanceStatus:
+        """Stream from ``primary``; see the base class."""
+        async with self._locked():
+            status = await self.fetch_status()
+            if status.sealed is None or status.sealed <= ballot:
+                await self._execute_all(
+                    _configure(Upstream(primary, ballot)),
+                    statements.READ_ONLY_OFF,
+                    statements.RELOAD,
+                )
+        return await self.fetch_status()
+
+    async def terminate(self, application: str) -> int:
+        """End other connections of ``application``; return how many."""
+        answer = await self.execute(statements.TERMINATE, (application,))
+        return int(answer.rows[0][0] or 0)
+
+    async def close(self) -> None:
+        """Close without waiting for the endpoint."""
+        self._pgconn.finish()
+
+    @property
+    def transaction(self) -> TransactionStatus:
+        """The transaction state that the endpoint reported last."""
+        return libpq.read_transaction(self._pgconn)
+
+    async def _describe_new(self, sql: str) -> Description:
+        libpq.check_connection(self._pgconn)
+        self._pgconn.send_prepare(b'', sql.encode('utf-8'))
+        results = await libpq.fetch_results(self._pgconn)
+        libpq.read_answer(self._pgconn, results[-1])
+        self._pgconn.send_describe_prepared(b'')
+        results = await libpq.fetch_results(self._pgconn)
+        return libpq.read_description(self._pgconn, results[-1])
+
+    async def _fetch_pair(self) -> tuple[Answer, Answer]:
+        first = await libpq.fetch_results(self._pgconn)
+        second = await libpq.fetch_results(self._pgconn)
+        await libpq.fetch_results(self._pgconn)
+        self._pgconn.exit_pipeline_mode()
+        return (
+            libpq.read_answer(self._pgconn, first[-1]),
+            libpq.read_answer(self._pgconn, second[-1]),
+        )
+
+    async def _execute_all(self, *texts: str) -> None:
+        for text in texts:
+            await self.execute(text)  # noqa: WPS476
+
+    @asynccontextmanager
+    async def _locked(self) -> AsyncIterator[None]:
+        """Hold the instance's advisory lock; a broken connection frees it."""
+        await self.execute(statements.LOCK)
+        try:
+            yield
+        except StatementError:
+            await self.execute(statements.UNLOCK)
+            raise
+        await self.execute(statements.UNLOCK)
+
+    async def _fetch_settled_status(self) -> InstanceStatus:
+        for _ in range(_RECEIVER_POLLS):
+            answer = await self.execute(statements.STATUS)  # noqa: WPS476
+            if answer.rows[0][-1] == '0':
+                return read_status(self._endpoint, answer)
+            await anyio.sleep(_RECEIVER_POLL_S)  # noqa: WPS476
+        raise EndpointError('the log receiver does not stop', was_sent=True)
+
+
+@drivers.register('postgres')
+@final
+class PostgresDriver(Driver):
+    """Opens connections to PostgreSQL instances."""
+
+    async def connect(
+        self,
+        address: EndpointAddress,
+        credential: Credential,
+        application: str,
+    ) -> EndpointConnection:
+        """Open a connection and read the instance's incarnation."""
+        conninfo = make_conninfo(
+            hostaddr=address.host,
+            port=address.port,
+            user=credential.user,
+            password=credential.password,
+            dbname=credential.database,
+            application_name=application,
+            sslmode='disable',
+            gssencmode='disable',
+        )
+        pgconn = await libpq.open_connection(conninfo)
+        connection = PostgresConnection(pgconn, address.endpoint)
+        try:
+            answer = await connection.execute(statements.INCARNATION)
+        except BaseException:
+            pgconn.finish()
+            raise
+        connection.incarnation = answer.rows[0][0] or ''
+        return connection
+
+
+def _stop_writes(role: Role) -> tuple[str, ...]:
+    if role is Role.REPLICA:
+        return (statements.RELOAD,)
+    return (
+        statements.READ_ONLY_ON,
+        statements.RELOAD,
+        statements.TERMINATE_OTHERS,
+    )
+
+
+def _configure(upstream: Upstream) -> str:
+    literal = quote_literal(format_upstream(upstream))
+    return statements.CONFIGURE_PRIMARY.format(literal)
--- /dev/null
+++ b/catkincrank/httpserver.py
@@ -0,0 +1,215 @@
+"""Small HTTP server: h11 over anyio, for admin ports and stand-ins."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import final
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import anyio
+import h11
+from anyio.abc import SocketAttribute, SocketStream, TaskStatus
+from loguru import logger
+
+__all__ = ('HttpRequest', 'HttpResponse', 'HttpServer', 'Route')
+
+_MAX_BODY_BYTES = 8 * 1024 * 1024
+_READ_BYTES = 65536
+_SERVER_ERROR = 500
+_NOT_FOUND = 404
+_NOT_ALLOWED = 405
+_TOO_LARGE = 413
+_LOOPBACK = '127.0.0.1'
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request.
+
+    Attributes:
+        method: Method in upper case.
+        path: Decoded path.
+        query: Query parameters; the last of a name counts.
+        headers: Header values by lower-case name.
+        body: The body.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str] = field(default_factory=dict)
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b''
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A whole response.
+
+    Attributes:
+        body: The body.
+        status: Status code.
+        content_type: Media type of the body.
+        headers: Further headers.
+    """
+
+    body: bytes = b''
+    status: int = 200
+    content_type: str = 'application/json'
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+Route = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
+
+
+class _BodyTooLargeError(Exception):
+    """The body passes the limit."""
+
+
+@final
+class HttpServer:
+    """Serves routes on one TCP port.
+
+    Args:
+        routes: What answers each ``'METHOD /path'``; a path that ends in
+            ``/*`` takes every path below it. A route that returns ``None``
+            closes the connection without an answer.
+    """
+
+    def __init__(self, routes: Mapping[str, Route]) -> None:
+        self.port = 0
+        self._routes = dict(routes)
+
+    async def serve(
+        self,
+        host: str = _LOOPBACK,
+        port: int = 0,
+        *,
+        task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled; the task status gives the port."""
+        listener = await anyio.create_tcp_listener(
+            local_host=host,
+            local_port=port,
+            reuse_port=False,
+        )
+        async with listener:
+            self.port = listener.extra(SocketAttribute.local_port)
+            task_status.started(self.port)
+            await listener.serve(self._handle)
+
+    async def _handle(self, stream: SocketStream) -> None:
+        async with stream:
+            try:
+                await self._converse(stream)
+            except (
+                anyio.BrokenResourceError,
+                anyio.EndOfStream,
+                anyio.ClosedResourceError,
+                h11.RemoteProtocolError,
+            ):
+                return
+
+    async def _converse(self, stream: SocketStream) -> None:
+        protocol = h11.Connection(h11.SERVER)
+        while True:
+            request = await _read_request(protocol, stream)
+            if request is None:
+                return
+            response = await self._respond(request)
+            if response is None:
+                return
+            await _send_response(protocol, stream, request, response)
+            if protocol.our_state is not h11.DONE:
+                return
+            protocol.start_next_cycle()
+
+    async def _respond(self, request: HttpRequest) -> HttpResponse | None:
+        route = self._find_route(request)
+        if route is None:
+            known = any(
+                key.endswith(' {0}'.format(request.path))
+                for key in self._routes
+            )
+            status = _NOT_ALLOWED if known else _NOT_FOUND
+            return HttpResponse(b'', status, 'text/plain')
+        try:
+            return await route(request)
+        except Exception as error:
+            logger.bind(path=request.path).error('http_route_failed')
+            text = type(error).__name__.encode('utf-8')
+            return HttpResponse(text, _SERVER_ERROR, 'text/plain')
+
+    def _find_route(self, request: HttpRequest) -> Route | None:
+        exact = '{0} {1}'.format(request.method, request.path)
+        if exact in self._routes:
+            return self._routes[exact]
+        for key, route in self._routes.items():
+            if key.endswith('/*') and exact.startswith(key[:-1]):
+                return route
+        return None
+
+
+async def _read_request(
+    protocol: h11.Connection,
+    stream: SocketStream,
+) -> HttpRequest | None:
+    head = await _next_event(protocol, stream)
+    if not isinstance(head, h11.Request):
+        return None
+    body = bytearray()
+    while True:
+        event = await _next_event(protocol, stream)
+        if isinstance(event, h11.EndOfMessage):
+            break
+        if not isinstance(event, h11.Data):
+            return None
+        body.extend(event.data)
+        if len(body) > _MAX_BODY_BYTES:
+            return None
+    target = urlsplit(head.target.decode('ascii'))
+    return HttpRequest(
+        head.method.decode('ascii'),
+        unquote(target.path),
+        dict(parse_qsl(target.query, keep_blank_values=True)),
+        {
+            name.decode('ascii'): text.decode('latin-1')
+            for name, text in head.headers
+        },
+        bytes(body),
+    )
+
+
+async def _next_event(
+    protocol: h11.Connection,
+    stream: SocketStream,
+) -> object:
+    while True:
+        event = protocol.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        try:
+            protocol.receive_data(await stream.receive(_READ_BYTES))
+        except anyio.EndOfStream:
+            protocol.receive_data(b'')
+
+
+async def _send_response(
+    protocol: h11.Connection,
+    stream: SocketStream,
+    request: HttpRequest,
+    response: HttpResponse,
+) -> None:
+    headers = [
+        ('content-type', response.content_type),
+        ('content-length', str(len(response.body))),
+        *response.headers.items(),
+    ]
+    sent = protocol.send(
+        h11.Response(status_code=response.status, headers=headers),
+    )
+    parts = [sent or b'']
+    if request.method != 'HEAD':
+        parts.append(protocol.send(h11.Data(data=response.body)) or b'')
+    parts.append(protocol.send(h11.EndOfMessage()) or b'')
+    await stream.send(b''.join(parts))
--- /dev/null
+++ b/catkincrank/standins/dialect.py
@@ -0,0 +1,212 @@
+"""Translation of PostgreSQL statements for the stand-in's SQL engine."""
+
+import enum
+import re
+from dataclasses import dataclass
+from typing import final
+
+import sqlglot
+from pg_mimic import (
+    BOOL,
+    INT8,
+    NUMERIC,
+    TEXT,
+    TIMESTAMPTZ,
+    PgError,
+    ResultColumn,
+)
+from sqlglot import exp
+
+from catkincrank.standins.schema import Schema, find_oid
+
+__all__ = ('NOW_FUNCTION', 'Kind', 'Translation', 'translate')
+
+NOW_FUNCTION = 'standin_now'
+_SYNTAX_ERROR = '42601'
+_PARAMETER = re.compile(r"'(?:[^']|'')*'|\$(\d+)")
+_NAMED = 'p{0}'
+_UNNAMED_COLUMN = '?column?'
+_COMPARISONS = (exp.EQ, exp.NEQ, exp.GT, exp.GTE, exp.LT, exp.LTE, exp.Binary)
+_PREDICATES = (exp.EQ, exp.NEQ, exp.GT, exp.GTE, exp.LT, exp.LTE, exp.Exists)
+_SAME_TYPE = (exp.Sum, exp.Max, exp.Min, exp.Coalesce, exp.Paren, exp.Neg)
+
+
+@final
+class Kind(enum.Enum):
+    """What a statement does to the database."""
+
+    READ = 'read'
+    LOCKING_READ = 'locking read'
+    WRITE = 'write'
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Translation:
+    """A statement ready for the engine.
+
+    Attributes:
+        kind: What it does.
+        sql: Its text in the engine's dialect.
+        parameter_oids: Type of each parameter.
+        columns: Result columns; ``None`` when it returns no rows.
+        tree: The parsed statement.
+    """
+
+    kind: Kind
+    sql: str
+    parameter_oids: tuple[int, ...]
+    columns: tuple[ResultColumn, ...] | None
+    tree: exp.Expression
+
+
+def translate(sql: str, schema: Schema) -> Translation:
+    """Return ``sql`` ready for the engine.
+
+    Raises:
+        PgError: The statement can't be parsed.
+    """
+    try:
+        tree = sqlglot.parse_one(_name_parameters(sql), dialect='postgres')
+    except sqlglot.errors.SqlglotError as error:
+        raise PgError(_SYNTAX_ERROR, str(error).splitlines()[0]) from None
+    kind = _classify(tree)
+    tree.set('locks', [])
+    return Translation(
+        kind,
+        tree.transform(_replace_now).sql(dialect='sqlite'),
+        _find_parameters(tree, schema),
+        _find_columns(tree, schema),
+        tree,
+    )
+
+
+def _name_parameters(sql: str) -> str:
+    return _PARAMETER.sub(_name_parameter, sql)
+
+
+def _name_parameter(match: re.Match[str]) -> str:
+    if match.group(1) is None:
+        return match.group(0)
+    return ':{0}'.format(_NAMED.format(match.group(1)))
+
+
+def _classify(tree: exp.Expression) -> Kind:
+    if not isinstance(tree, exp.Query):
+        return Kind.WRITE
+    return Kind.LOCKING_READ if tree.args.get('locks') else Kind.READ
+
+
+def _replace_now(node: exp.Expression) -> exp.Expression:
+    if isinstance(node, exp.CurrentTimestamp):
+        return exp.Paren(this=exp.Anonymous(this=NOW_FUNCTION))
+    return node
+
+
+def _find_parameters(tree: exp.Expression, schema: Schema) -> tuple[int, ...]:
+    oids: dict[int, int] = {}
+    for node in tree.find_all(exp.Placeholder):
+        number = int(node.name.removeprefix('p'))
+        found = _guess_parameter(node, schema)
+        if oids.get(number, TEXT) == TEXT:
+            oids[number] = found
+    count = max(oids, default=0)
+    return tuple(oids.get(number, TEXT) for number in range(1, count + 1))
+
+
+def _guess_parameter(node: exp.Expression, schema: Schema) -> int:
+    parent = node.parent
+    if isinstance(parent, exp.Cast):
+        return find_oid(parent.to)
+    if isinstance(parent, exp.Tuple) and isinstance(parent.parent, exp.Values):
+        return _find_inserted(parent, node, schema)
+    if isinstance(parent, (exp.Limit, exp.Offset)):
+        return INT8
+    if isinstance(parent, _COMPARISONS):
+        other = parent.left if parent.right is node else parent.right
+        return _find_type(other, schema)
+    if isinstance(parent, exp.In):
+        return _find_type(parent.this, schema)
+    return TEXT
+
+
+def _find_inserted(
+    row: exp.Tuple,
+    node: exp.Expression,
+    schema: Schema,
+) -> int:
+    insert = row.find_ancestor(exp.Insert)
+    if insert is None:
+        return TEXT
+    target = insert.this
+    table = target.find(exp.Table)
+    declared = schema.tables.get(table.name if table else '', {})
+    names = [column.name for column in target.expressions] or list(declared)
+    index = [id(each) for each in row.expressions].index(id(node))
+    if index >= len(names):
+        return TEXT
+    return declared.get(names[index], TEXT)
+
+
+def _find_columns(
+    tree: exp.Expression,
+    schema: Schema,
+) -> tuple[ResultColumn, ...] | None:
+    selected = _list_selected(tree)
+    if selected is None:
+        return None
+    columns: list[ResultColumn] = []
+    for each in selected:
+        if isinstance(each, exp.Star) or each.is_star:
+            columns.extend(_expand_star(tree, schema))
+        else:
+            oid = _find_type(each, schema)
+            columns.append(ResultColumn(_name_column(each), oid))
+    return tuple(columns)
+
+
+def _list_selected(tree: exp.Expression) -> list[exp.Expression] | None:
+    if isinstance(tree, exp.Query):
+        return tree.selects
+    returning = tree.args.get('returning')
+    return returning.expressions if returning else None
+
+
+def _expand_star(tree: exp.Expression, schema: Schema) -> list[ResultColumn]:
+    return [
+        ResultColumn(name, oid)
+        for table in tree.find_all(exp.Table)
+        for name, oid in schema.tables.get(table.name, {}).items()
+    ]
+
+
+def _name_column(node: exp.Expression) -> str:
+    if node.alias_or_name:
+        return node.alias_or_name
+    if isinstance(node, exp.Func):
+        return node.sql_name().lower()
+    return _UNNAMED_COLUMN
+
+
+def _find_type(node: exp.Expression | None, schema: Schema) -> int:
+    if isinstance(node, exp.Alias):
+        return _find_type(node.this, schema)
+    if isinstance(node, exp.Column):
+        return schema.find_column(node.name)
+    if isinstance(node, exp.Cast):
+        return find_oid(node.to)
+    if isinstance(node, exp.Count):
+        return INT8
+    if isinstance(node, exp.CurrentTimestamp):
+        return TIMESTAMPTZ
+    return _find_compound_type(node, schema)
+
+
+def _find_compound_type(node: exp.Expression | None, schema: Schema) -> int:
+    if isinstance(node, (exp.Boolean, *_PREDICATES)):
+        return BOOL
+    if isinstance(node, exp.Literal) and node.is_number:
+        return INT8 if node.is_int else NUMERIC
+    if isinstance(node, (*_SAME_TYPE, exp.Binary)):
+        return _find_type(node.this, schema)
+    return TEXT
--- /dev/null
+++ b/catkincrank/standins/instance.py
@@ -0,0 +1,192 @@
+"""State of one stand-in instance: its log, its role and its promise.
+
+The rules are those of a PostgreSQL instance as the driver sees it; what a real
+one can't do by SQL alone is named in docs/design-endpoints.md.
+"""
+
+from dataclasses import dataclass
+from typing import final
+
+import anyio
+from pg_mimic import PgError
+
+from catkincrank.endpoints.conninfo import Upstream, parse_upstream
+from catkincrank.instance import Role
+from catkincrank.standins.database import Database
+from catkincrank.standins.log import Change, Log, Record
+
+__all__ = ('InstanceOptions', 'StandinInstance')
+
+_READ_ONLY = '25006'
+_NOT_IN_RECOVERY = '55000'
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class InstanceOptions:
+    """Limits and delays of an instance.
+
+    Attributes:
+        slots: Statements that it works on at once.
+        connections: Connections that it takes.
+        connect_s: Time that it takes to accept a connection.
+        statement_s: Time that it works on a statement.
+        user: Login that it takes.
+        password: The login's password; empty to ask for none.
+    """
+
+    slots: int = 3
+    connections: int = 20
+    connect_s: float = 0.01
+    statement_s: float = 0
+    user: str = 'catkincrank'
+    password: str = ''
+
+    def __repr__(self) -> str:
+        return 'InstanceOptions(slots={0}, connections={1})'.format(
+            self.slots,
+            self.connections,
+        )
+
+
+@final
+class StandinInstance:
+    """One instance of a group.
+
+    Args:
+        name: Name of the endpoint.
+        options: Limits and delays.
+    """
+
+    def __init__(self, name: str, options: InstanceOptions) -> None:
+        self.name = name
+        self.options = options
+        self.role = Role.REPLICA
+        self.log = Log()
+        self.database = Database()
+        self.replayed = 0
+        self.conninfo = ''
+        self.is_read_only = False
+        self._is_alive = False
+        self.writer = anyio.Semaphore(1)
+        self.advisory = anyio.Semaphore(1)
+        self.slots = anyio.Semaphore(options.slots)
+        self.changed = anyio.Event()
+        self._starts = 0
+        self._running = anyio.Event()
+        self._running.set()
+
+    @property
+    def incarnation(self) -> str:
+        """Changes at each restart and rewind."""
+        return '{0}-{1}'.format(self.name, self._starts)
+
+    @property
+    def upstream(self) -> Upstream | None:
+        """What the instance has promised and follows."""
+        return parse_upstream(self.conninfo)
+
+    @property
+    def follows(self) -> str:
+        """Name of another endpoint that it is to stream from."""
+        upstream = self.upstream
+        if upstream is None or upstream.primary is None:
+            return ''
+        followed = upstream.primary.endpoint
+        return '' if followed == self.name else followed
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the instance is alive and not frozen."""
+        return self._is_alive and self._running.is_set()
+
+    def start(self) -> None:
+        """Begin a new incarnation."""
+        self._starts += 1
+        self._is_alive = True
+        self.writer = anyio.Semaphore(1)
+        self.advisory = anyio.Semaphore(1)
+        self.slots = anyio.Semaphore(self.options.slots)
+        self.database.discard_draft()
+        self.notify()
+
+    def stop(self, *, keep_state: bool = True) -> None:
+        """End the incarnation, and lose its data unless they are kept."""
+        self._is_alive = False
+        if keep_state:
+            return
+        self.log = Log()
+        self.database = Database()
+        self.replayed = 0
+        self.conninfo = ''
+        self.is_read_only = False
+        self.role = Role.REPLICA
+
+    def freeze(self) -> None:
+        """Stand still."""
+        self._running = anyio.Event()
+
+    def resume(self) -> None:
+        """Go on after a freeze."""
+        self._running.set()
+        self.notify()
+
+    async def wait_running(self) -> None:
+        """Wait while the instance is frozen."""
+        if not self._running.is_set():
+            await self._running.wait()
+
+    def notify(self) -> None:
+        """Wake what waits for a change of this instance."""
+        changed = self.changed
+        self.changed = anyio.Event()
+        changed.set()
+
+    def check_writable(self) -> None:
+        """Refuse a write unless this is a primary that takes them.
+
+        Raises:
+            PgError: The instance is a replica or sealed.
+        """
+        if self.role is Role.REPLICA or self.is_read_only:
+            raise PgError(
+                _READ_ONLY,
+                'cannot execute statement in a read-only transaction',
+            )
+
+    def commit(self, changes: tuple[Change, ...], now: float) -> Record:
+        """Append the draft's transaction to the log and make it visible."""
+        record = self.log.append(changes, now)
+        self.database.commit(record)
+        self.replayed = record.end
+        self.notify()
+        return record
+
+    def replay(self, record: Record) -> None:
+        """Make a received record visible."""
+        self.database.replay(record)
+        self.replayed = record.end
+
+    def promote(self) -> None:
+        """Begin the promised term as primary.
+
+        Raises:
+            PgError: The instance is no replica.
+        """
+        if self.role is Role.PRIMARY:
+            raise PgError(_NOT_IN_RECOVERY, 'recovery is not in progress')
+        for record in self.log.list_after(self.replayed):
+            self.replay(record)
+        upstream = self.upstream
+        promised = upstream.ballot.term if upstream else 0
+        self.log.begin_term(max(self.log.history.term + 1, promised))
+        self.role = Role.PRIMARY
+        self.notify()
+
+    def rebuild(self, source: 'StandinInstance') -> None:
+        """Become a replica with the log of ``source``; a new incarnation."""
+        self.role = Role.REPLICA
+        self.log = source.log.copy()
+        self.database = source.database.copy()
+        self.replayed = source.replayed
+        self.start()
--- /dev/null
+++ b/catkincrank/standins/session.py
@@ -0,0 +1,134 @@
+"""One caller's connection to a stand-in instance, over pg-mimic."""
+
+import re
+import socket
+import struct
+from typing import Any, Final, final
+
+from pg_mimic import BaseSession, ResultColumn, Statement
+from pg_mimic.types import TEXT
+
+from catkincrank.standins import control
+from catkincrank.standins.execution import Execution
+from catkincrank.standins.instance import StandinInstance
+from catkincrank.standins.portal import Row, Runner, StandinStatement
+
+__all__ = ('StandinSession',)
+
+_LINGER_OFF = struct.pack('ii', 1, 0)
+_KEYWORD = re.compile(r'\s*(\w+)')
+_SERVER_VERSION = 'PostgreSQL 16.0 (catkincrank stand-in)'
+_SHOWN: Final = (
+    ('server_version', '16.0'),
+    ('standard_conforming_strings', 'on'),
+    ('transaction isolation level', 'read committed'),
+    ('transaction_read_only', 'off'),
+)
+_CONSTANTS: Final = (
+    ('select pg_catalog.version()', _SERVER_VERSION),
+    ('select version()', _SERVER_VERSION),
+    ('select current_schema()', 'public'),
+)
+
+
+@final
+class StandinSession(BaseSession):
+    """Runs one connection's statements on an instance.
+
+    Args:
+        instance: The instance.
+        peers: Open sessions of the instance; this one joins and leaves it.
+    """
+
+    def __init__(
+        self,
+        instance: StandinInstance,
+        peers: set['StandinSession'],
+    ) -> None:
+        self.instance = instance
+        self.peers = peers
+        self.application = ''
+        self.holds_advisory = False
+        self._connection: Any = None
+        self._execution: Execution | None = None
+
+    async def init(self, connection: Any) -> None:
+        """Join the instance's sessions."""
+        self._connection = connection
+        self._execution = Execution(self.instance, connection)
+        params = connection.startup_params
+        self.application = params.get('application_name', '')
+        self.peers.add(self)
+
+    async def close(self) -> None:
+        """Undo what is open and leave."""
+        self.peers.discard(self)
+        self.release_advisory()
+        if self._execution is not None:
+            self._execution.transaction.rollback()
+
+    async def prepare(
+        self,
+        sql: str,
+        param_oids: list[int | None],
+    ) -> Statement:
+        """Return the statement that ``sql`` stands for."""
+        await self.instance.wait_running()
+        controlling = control.find_control(sql)
+        if controlling is not None:
+            columns = control.find_columns(sql)
+            return StandinStatement(sql, self._wrap(controlling), columns)
+        constant = _find_constant(sql)
+        if constant is not None:
+            return _make_constant(sql, *constant)
+        execution = self._execution
+        if execution is None:
+            raise RuntimeError('prepare() before init()')
+        return execution.prepare(sql, _read_keyword(sql), param_oids)
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        writer = self._connection.stream.writer
+        opened = writer.get_extra_info('socket')
+        if opened is not None:
+            opened.setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_LINGER,
+                _LINGER_OFF,
+            )
+        writer.transport.abort()
+
+    def release_advisory(self) -> None:
+        """Release the advisory lock if this session holds it."""
+        if self.holds_advisory:
+            self.holds_advisory = False
+            self.instance.advisory.release()
+
+    def _wrap(self, controlling: Any) -> Runner:
+        async def run(params: list[str | None]) -> list[Row]:  # noqa: WPS430
+            await self.instance.wait_running()
+            texts = tuple(text or '' for text in params)
+            return await controlling(self, texts)
+
+        return run
+
+
+def _read_keyword(sql: str) -> str:
+    match = _KEYWORD.match(sql)
+    return match.group(1).lower() if match else ''
+
+
+def _find_constant(sql: str) -> tuple[str, str] | None:
+    text = ' '.join(sql.lower().rstrip('; ').split())
+    if text.startswith('show '):
+        name = text.removeprefix('show ')
+        return name, dict(_SHOWN).get(name, '')
+    found = dict(_CONSTANTS).get(text)
+    return None if found is None else ('text', found)
+
+
+def _make_constant(sql: str, name: str, text: str) -> Statement:
+    async def run(params: list[str | None]) -> list[Row]:  # noqa: WPS430
+        return [(text,)]
+
+    return StandinStatement(sql, run, (ResultColumn(name, TEXT),))
