--- a/catkincrank/httpclient.py
+++ b/catkincrank/httpclient.py
@@ -15,6 +15,12 @@
 _READ_BYTES = 65536
 _HTTP_PORT = 80
 _TIMEOUT_S = 5.0
+_FAILURES = (
+    OSError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    h11.ProtocolError,
+)
 
 
 @final
@@ -92,18 +98,14 @@
                     sent = _encode(wire, method, target, body, headers or {})
                     await wire.stream.send(sent)
                     answer = await _read_answer(wire)
-        except (
-            TimeoutError,
-            OSError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            h11.ProtocolError,
-        ) as error:
-            await self.close()
+        except _FAILURES as error:
+            if was_sent:
+                await self.close()
             reason = str(error) or type(error).__name__
             raise HttpError(reason, was_sent=was_sent) from None
         except BaseException:
-            await self.close()
+            if was_sent:
+                await self.close()
             raise
         await self._settle(wire)
         return answer
--- a/catkincrank/httpserver.py
+++ b/catkincrank/httpserver.py
@@ -17,7 +17,11 @@
 _SERVER_ERROR = 500
 _NOT_FOUND = 404
 _NOT_ALLOWED = 405
-_TOO_LARGE = 413
+_HANG_UPS = (
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    h11.RemoteProtocolError,
+)
 _LOOPBACK = '127.0.0.1'
 
 
@@ -62,10 +66,6 @@
 Route = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
 
 
-class _BodyTooLargeError(Exception):
-    """The body passes the limit."""
-
-
 @final
 class HttpServer:
     """Serves routes on one TCP port.
@@ -102,12 +102,7 @@
         async with stream:
             try:
                 await self._converse(stream)
-            except (
-                anyio.BrokenResourceError,
-                anyio.EndOfStream,
-                anyio.ClosedResourceError,
-                h11.RemoteProtocolError,
-            ):
+            except _HANG_UPS:
                 return
 
     async def _converse(self, stream: SocketStream) -> None:
@@ -142,8 +137,9 @@
 
     def _find_route(self, request: HttpRequest) -> Route | None:
         exact = '{0} {1}'.format(request.method, request.path)
-        if exact in self._routes:
-            return self._routes[exact]
+        found = self._routes.get(exact)
+        if found is not None:
+            return found
         for key, route in self._routes.items():
             if key.endswith('/*') and exact.startswith(key[:-1]):
                 return route
--- /dev/null
+++ b/tests/test_stores.py
@@ -0,0 +1,64 @@
+import anyio
+import pytest
+
+import catkincrank.stores  # noqa: F401
+from catkincrank.errors import ConflictError, StoreUnavailableError
+from catkincrank.standins.platform import StandinPlatform
+from catkincrank.store import VirtualMachine, stores
+from catkincrank.stores.memory import MemoryStore
+
+MACHINE = VirtualMachine('vm-1', 'kathmandu', '127.0.0.1')
+
+
+async def check_store(store, faults, table):
+    assert await store.read('settings/none') is None
+    row = await store.write(
+        'settings/a b', b'1', expected_version=0, change_id='x'
+    )
+    assert row.version == 1
+    assert await store.read('settings/a b') == row
+    again = await store.write(
+        'settings/a b', b'2', expected_version=0, change_id='x'
+    )
+    assert again == row
+    with pytest.raises(ConflictError) as conflict:
+        await store.write(
+            'settings/a b', b'2', expected_version=0, change_id='y'
+        )
+    assert conflict.value.found == 1
+    faults.lose_answers = 1
+    with pytest.raises(StoreUnavailableError) as lost:
+        await store.write('settings/c', b'3', expected_version=0, change_id='z')
+    assert lost.value.may_have_applied
+    assert (await store.read('settings/c')).change_id == 'z'
+    keys = [row.key for row in await store.scan('settings/', 'settings/a b')]
+    assert keys == ['settings/c']
+    assert await store.get_object('o') is None
+    await store.put_object('o', b'bytes')
+    assert await store.get_object('o') == b'bytes'
+    table.machines.append(MACHINE)
+    assert await store.list_machines() == [MACHINE]
+    faults.is_down = True
+    with pytest.raises(StoreUnavailableError):
+        await store.read('settings/c')
+    faults.is_down = False
+    assert await store.read('settings/c')
+
+
+def test_memory_store():
+    store = MemoryStore('test')
+    anyio.run(check_store, store, store.shared, store.shared.table)
+
+
+def test_http_store():
+    async def main():
+        platform = StandinPlatform()
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(platform.serve)
+            store = stores.find('http')(platform.address)
+            await check_store(store, platform.faults, platform.table)
+            platform.faults.stale_machines = []
+            assert await store.list_machines() == []
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
