--- /dev/null
+++ b/catkincrank/acknowledgement.py
@@ -0,0 +1,48 @@
+"""Decides when a write may be acknowledged to its caller."""
+
+import enum
+from abc import ABC, abstractmethod
+from typing import final
+
+from catkincrank.feed import Feed
+from catkincrank.history import LogMark
+from catkincrank.registry import Registry
+
+__all__ = ('Acknowledgement', 'Standing', 'acknowledgements')
+
+
+@final
+class Standing(enum.Enum):
+    """How a committed write stands.
+
+    ``REPLACED`` says that the newest history lacks the write. It may come
+    back when that history is lost in turn, so its verdict is "may have run".
+    """
+
+    CONFIRMED = 'confirmed'
+    PENDING = 'pending'
+    REPLACED = 'replaced'
+
+
+class Acknowledgement(ABC):
+    """A policy on when a committed write may be acknowledged."""
+
+    @abstractmethod
+    def check(
+        self,
+        group: str,
+        mark: LogMark,
+        feed: Feed,
+        now: float,
+    ) -> Standing:
+        """Say how the write that ended at ``mark`` stands.
+
+        Args:
+            group: The group that was written to.
+            mark: What ``EndpointConnection.commit`` returned.
+            feed: Evidence about the group; its members must be set.
+            now: The time in seconds at which the answer would be sent.
+        """
+
+
+acknowledgements: Registry[type[Acknowledgement]] = Registry('acknowledgement')
--- /dev/null
+++ b/catkincrank/witness.py
@@ -0,0 +1,73 @@
+"""Positions that a group's primaries had, and when: what bounds data age."""
+
+from bisect import bisect_left, bisect_right
+from dataclasses import dataclass
+from typing import final
+
+from catkincrank.history import Containment, History, LogMark
+
+__all__ = ('Witness', 'WitnessLog')
+
+_CAPACITY = 1024
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Witness:
+    """A primary's position, sampled at ``taken_at`` or later.
+
+    Attributes:
+        taken_at: Lower bound of the sample's time, in seconds.
+        mark: The primary's term and position.
+    """
+
+    taken_at: float
+    mark: LogMark
+
+
+@final
+class WitnessLog:
+    """The newest witnesses of one group.
+
+    Times and marks both rise along the log: a witness with a later time and a
+    lower mark than another one says more, and replaces it.
+
+    Args:
+        capacity: How many witnesses are kept; the oldest go first.
+    """
+
+    __slots__ = ('_capacity', '_marks', '_times')
+
+    def __init__(self, capacity: int = _CAPACITY) -> None:
+        self._capacity = capacity
+        self._times: list[float] = []
+        self._marks: list[LogMark] = []
+
+    def add(self, taken_at: float, mark: LogMark) -> None:
+        """Keep a witness unless a kept one says as much."""
+        place = bisect_right(self._marks, mark)
+        if place and self._times[place - 1] >= taken_at:
+            return
+        first = bisect_left(self._marks, mark)
+        last = max(first, bisect_right(self._times, taken_at))
+        self._times = [*self._times[:first], taken_at, *self._times[last:]]
+        self._marks = [*self._marks[:first], mark, *self._marks[last:]]
+        if len(self._times) > self._capacity:
+            self._times.pop(0)
+            self._marks.pop(0)
+
+    def find(self, history: History, replayed: int) -> Witness | None:
+        """Return the newest witness that a replica's data cover.
+
+        Args:
+            history: The replica's history.
+            replayed: The position that it has replayed.
+        """
+        place = bisect_right(self._marks, LogMark(history.term, replayed))
+        for index in range(place - 1, -1, -1):
+            mark = self._marks[index]
+            if mark.position > replayed:
+                continue
+            if history.locate(mark) is Containment.HELD:
+                return Witness(self._times[index], mark)
+        return None
--- /dev/null
+++ b/tests/test_acknowledgement.py
@@ -0,0 +1,84 @@
+import pytest
+
+import catkincrank.acknowledgements  # noqa: F401
+from catkincrank.acknowledgement import Standing, acknowledgements
+from catkincrank.history import LogMark
+from catkincrank.instance import Ballot, Role
+from tests.test_feed import FIRST, GROUP, SECOND, make_feed, observe
+
+SEALED = Ballot(2, 'k')
+THIRD = SECOND.extend(3, 120)
+
+
+def check(feed, mark):
+    return acknowledgements.find('replica')().check(GROUP, mark, feed, 0)
+
+
+@pytest.mark.parametrize(
+    ('observations', 'standing'),
+    [
+        ([], Standing.PENDING),
+        ([observe('a', 1, 60)], Standing.PENDING),
+        ([observe('b', 1, 59)], Standing.PENDING),
+        ([observe('b', 1, 60)], Standing.CONFIRMED),
+        # Stored, though not replayed yet.
+        ([observe('b', 1, 10, received=60)], Standing.CONFIRMED),
+        # It stored the write, but has promised a later term.
+        ([observe('b', 1, 60, sealed=SEALED)], Standing.PENDING),
+        # It had stored the write before it promised.
+        (
+            [observe('b', 1, 60), observe('b', 2, 60, sealed=SEALED)],
+            Standing.CONFIRMED,
+        ),
+        # A later term holds the write: one instance is not enough.
+        (
+            [observe('b', 1, 100, SECOND, role=Role.PRIMARY)],
+            Standing.PENDING,
+        ),
+        (
+            [
+                observe('b', 1, 100, SECOND, role=Role.PRIMARY),
+                observe('c', 1, 60, SECOND),
+            ],
+            Standing.CONFIRMED,
+        ),
+        # Instances of two terms do not add up.
+        (
+            [
+                observe('a', 1, 60, sealed=SEALED),
+                observe('b', 1, 100, SECOND, role=Role.PRIMARY),
+                observe('c', 1, 59, SECOND),
+            ],
+            Standing.PENDING,
+        ),
+        # An instance that is not of the group does not count.
+        ([observe('z', 1, 60)], Standing.PENDING),
+    ],
+)
+def test_replica(observations, standing):
+    assert check(make_feed(*observations), LogMark(1, 60)) is standing
+
+
+@pytest.mark.parametrize(
+    ('mark', 'standing'),
+    [
+        (LogMark(1, 100), Standing.CONFIRMED),
+        (LogMark(1, 101), Standing.REPLACED),
+        (LogMark(2, 120), Standing.CONFIRMED),
+        (LogMark(2, 121), Standing.REPLACED),
+        (LogMark(3, 150), Standing.PENDING),
+    ],
+)
+def test_marks_across_terms(mark, standing):
+    feed = make_feed(
+        observe('b', 1, 90, FIRST),
+        observe('b', 2, 140, THIRD, role=Role.PRIMARY),
+        observe('c', 2, 130, THIRD),
+    )
+    assert check(feed, mark) is standing
+
+
+def test_members_unknown():
+    feed = make_feed(observe('b', 1, 60))
+    feed.set_members(GROUP, ())
+    assert check(feed, LogMark(1, 60)) is Standing.PENDING
