Pool of endpoint connections as a pure decision

Cause: about twenty connections per instance serve every team and proxy, and some of them fall silent for good. Change: a pool that takes reports and returns actions (open, grant, refuse, close, probe). A connection holds its place until the endpoint cannot count it any more; one silent connection makes its older neighbours answer a probe before their next lease; attempts to open are few at once and backed off with jitter; what cannot be served in time is refused at once. Conclusion: a hypothesis state machine with any order of reports finds no connection lent twice or after its close, and no place above the limit.

--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,287 @@
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
+
+from catkincrank.fairness import QueueEntry
+from catkincrank.pool import EndpointPool, PoolOptions
+from catkincrank.poolactions import (
+    Close,
+    Grant,
+    Open,
+    Probe,
+    RefusalCause,
+    Refuse,
+)
+
+OPTIONS = PoolOptions(queue_length=6)
+
+
+def make_pool(limit=2, **changes):
+    options = PoolOptions(queue_length=6, **changes)
+    return EndpointPool('a', limit, options, random.Random(1))
+
+
+def entry(number, deadline=100, login='x', team='t'):
+    return QueueEntry(number, team, deadline, login=login)
+
+
+def lend_all(pool, now=0):
+    """Lease every place of a pool of two."""
+    for number in (1, 2):
+        pool.ask(entry(number), now)
+        pool.opened(number, now)
+
+
+def kinds(actions):
+    return [type(action) for action in actions]
+
+
+def test_opens_lends_and_lends_again():
+    pool = make_pool()
+    assert pool.ask(entry(7), 0) == [Open(1, 'x')]
+    assert pool.opened(1, 0.01) == [Grant(7, 1)]
+    assert not pool.give_back(1, 0.02)
+    assert pool.ask(entry(8), 0.03) == [Grant(8, 1)]
+
+
+def test_waits_at_the_limit():
+    pool = make_pool()
+    lend_all(pool)
+    assert not pool.ask(entry(3), 0)
+    assert pool.give_back(2, 0.1) == [Grant(3, 2)]
+
+
+def test_dirty_connection_is_never_handed_on():
+    pool = make_pool(limit=1)
+    pool.ask(entry(1), 0)
+    pool.opened(1, 0)
+    pool.ask(entry(2), 0)
+    assert pool.discard(1, 0.1) == [Close(1)]
+    assert pool.held == 1
+    assert not pool.give_back(1, 0.1)
+    assert pool.closed(1, 0.2) == [Open(2, 'x')]
+    assert pool.opened(2, 0.3) == [Grant(2, 2)]
+
+
+def test_silent_connection_keeps_its_place_and_warns_of_others():
+    pool = make_pool()
+    lend_all(pool)
+    pool.give_back(2, 1)
+    assert pool.discard(1, 5, is_lost=True) == [Close(1)]
+    pool.closed(1, 5)
+    assert pool.held == 2
+    # The other one was last heard of earlier: it must answer first.
+    assert pool.ask(entry(3), 5) == [Probe(2)]
+    assert pool.probed(2, 5.1, is_alive=False) == [Close(2)]
+    pool.closed(2, 5.1)
+    assert not pool.tick(5.4)
+    assert pool.tick(5.5) == [Open(3, 'x')]
+
+
+def test_probe_answered():
+    pool = make_pool()
+    lend_all(pool)
+    pool.give_back(2, 1)
+    pool.discard(1, 5, is_lost=True)
+    pool.ask(entry(3), 5)
+    assert pool.probed(2, 5.1, is_alive=True) == [Grant(3, 2)]
+
+
+def test_idle_connections_are_probed_then_closed():
+    pool = make_pool()
+    lend_all(pool)
+    pool.give_back(1, 0)
+    pool.give_back(2, 1)
+    assert pool.next_tick_at() == 5
+    assert pool.tick(5) == [Probe(1)]
+    pool.probed(1, 5, is_alive=True)
+    assert Close(1) in pool.tick(60)
+    # One is kept, however long.
+    assert Close(2) not in pool.tick(1000)
+
+
+@pytest.mark.parametrize(
+    ('deadline', 'waiting', 'cause'),
+    [
+        (0, 0, RefusalCause.DEADLINE),
+        (0.001, 1, RefusalCause.OVERLOADED),
+        (100, 6, RefusalCause.OVERLOADED),
+    ],
+)
+def test_refuses_at_once(deadline, waiting, cause):
+    pool = make_pool()
+    lend_all(pool)
+    for number in range(waiting):
+        pool.ask(entry(10 + number), 0)
+    actions = pool.ask(entry(3, deadline), 0)
+    assert [(one.request_id, one.cause) for one in actions] == [(3, cause)]
+    assert pool.waiting == waiting
+
+
+def test_deadline_comes_while_waiting():
+    pool = make_pool()
+    lend_all(pool)
+    pool.ask(entry(3, 2), 0)
+    assert pool.next_tick_at() == 2
+    refused = pool.tick(2)
+    assert [one.cause for one in refused] == [RefusalCause.DEADLINE]
+
+
+def test_failure_to_open_refuses_and_backs_off():
+    pool = make_pool()
+    pool.ask(entry(1), 0)
+    pool.ask(entry(2), 0)
+    assert not pool.open_failed(1, 0)
+    refused = pool.open_failed(2, 0)
+    assert {one.cause for one in refused} == {RefusalCause.UNREACHABLE}
+    pause = refused[0].retry_after_s
+    again = pool.ask(entry(3), pause / 2)
+    assert again == [Refuse(3, RefusalCause.UNREACHABLE, pause / 2)]
+    assert kinds(pool.ask(entry(4), pause)) == [Open]
+
+
+def test_attempts_to_open_are_spread():
+    pool = make_pool(limit=8)
+    actions = [one for n in range(6) for one in pool.ask(entry(n), 0)]
+    assert kinds(actions) == [Open] * 2
+    assert kinds(pool.opened(1, 0)) == [Grant, Open]
+
+
+def test_lower_limit_closes_idle_first_and_leased_later():
+    pool = make_pool()
+    lend_all(pool)
+    pool.give_back(1, 0)
+    assert pool.change_limit(0, 1) == [Close(1)]
+    assert pool.give_back(2, 2) == [Close(2)]
+    refused = pool.ask(entry(3), 3)
+    assert refused[0].cause is RefusalCause.OVERLOADED
+
+
+def test_leaving_endpoint():
+    pool = make_pool()
+    lend_all(pool)
+    pool.ask(entry(3), 0)
+    assert pool.leave(1) == [Refuse(3, RefusalCause.LEAVING, 0)]
+    assert pool.ask(entry(4), 1) == [Refuse(4, RefusalCause.LEAVING, 0)]
+    assert pool.give_back(1, 2) == [Close(1)]
+    pool.rejoin()
+    assert kinds(pool.ask(entry(5), 3)) == []
+    assert pool.closed(1, 3) == [Open(3, 'x')]
+
+
+def test_other_login_gets_an_idle_place():
+    pool = make_pool()
+    lend_all(pool)
+    pool.give_back(1, 0)
+    pool.give_back(2, 0)
+    assert pool.ask(entry(3, login='y'), 1) == [Close(1)]
+    assert pool.closed(1, 1) == [Open(3, 'y')]
+    assert pool.opened(3, 1) == [Grant(3, 3)]
+
+
+class PoolMachine(RuleBasedStateMachine):
+    """Drives a pool with any order of reports and checks what must hold."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.pool = EndpointPool('a', 3, OPTIONS, random.Random(0))
+        self.asked = 0
+        self.waiting, self.leased = set(), {}
+        self.tasks = {Open: [], Close: [], Probe: []}
+        self.gone = set()
+
+    def do(self, actions):
+        for action in actions:
+            if isinstance(action, Grant):
+                self.waiting.remove(action.request_id)
+                assert action.connection_id not in self.leased
+                assert action.connection_id not in self.gone
+                self.leased[action.connection_id] = action.request_id
+            elif isinstance(action, Refuse):
+                self.waiting.remove(action.request_id)
+            else:
+                self.tasks[type(action)].append(action.connection_id)
+            if isinstance(action, Open):
+                assert self.pool.held <= self.pool.limit
+            if isinstance(action, Close):
+                self.gone.add(action.connection_id)
+
+    def pick(self, kind, data):
+        waiting = self.tasks[kind]
+        place = data.draw(st.integers(0, len(waiting) - 1))
+        return waiting.pop(place)
+
+    @rule(wait=st.floats(0.001, 10), login=st.sampled_from('xy'))
+    def ask(self, wait, login):
+        self.asked += 1
+        self.waiting.add(self.asked)
+        team = 't{0}'.format(self.asked % 3)
+        asked = entry(self.asked, self.now + wait, login, team)
+        self.do(self.pool.ask(asked, self.now))
+
+    @rule(seconds=st.floats(0, 3))
+    def pass_time(self, seconds):
+        self.now += seconds
+        self.do(self.pool.tick(self.now))
+
+    @precondition(lambda self: self.tasks[Open])
+    @rule(data=st.data(), works=st.booleans())
+    def finish_open(self, data, works):
+        report = self.pool.opened if works else self.pool.open_failed
+        self.do(report(self.pick(Open, data), self.now))
+
+    @precondition(lambda self: self.tasks[Close])
+    @rule(data=st.data())
+    def finish_close(self, data):
+        self.do(self.pool.closed(self.pick(Close, data), self.now))
+
+    @precondition(lambda self: self.tasks[Probe])
+    @rule(data=st.data(), alive=st.booleans())
+    def finish_probe(self, data, alive):
+        number = self.pick(Probe, data)
+        self.do(self.pool.probed(number, self.now, is_alive=alive))
+
+    @precondition(lambda self: self.leased)
+    @rule(data=st.data(), how=st.sampled_from(('clean', 'dirty', 'lost')))
+    def end_lease(self, data, how):
+        number = data.draw(st.sampled_from(sorted(self.leased)))
+        self.leased.pop(number)
+        if how == 'clean':
+            self.do(self.pool.give_back(number, self.now))
+        else:
+            lost = how == 'lost'
+            self.do(self.pool.discard(number, self.now, is_lost=lost))
+
+    @rule(limit=st.integers(1, 4))
+    def change_limit(self, limit):
+        self.do(self.pool.change_limit(limit, self.now))
+
+    @invariant()
+    def counts_agree(self):
+        open_or_closing = len(self.leased) + sum(map(len, self.tasks.values()))
+        assert open_or_closing <= self.pool.held
+        assert self.pool.waiting == len(self.waiting) <= 6
+        assert self.pool.in_use == len(self.leased)
+
+    @invariant()
+    def no_request_is_forgotten(self):
+        if self.waiting:
+            assert self.pool.next_tick_at() < float('inf')
+
+
+TestPoolMachine = PoolMachine.TestCase
+TestPoolMachine.settings = settings(
+    derandomize=True,
+    max_examples=60,
+    stateful_step_count=40,
+    deadline=None,
+)
