Add messages, links, watches, feed publishing and a thin keeper

Proxies need to learn instances' positions without a probe per read, and keepers need a way to talk to each other. Messages are data classes with a Cap'n Proto form; garbage closes the link; silence is found by heartbeats.

--- /dev/null
+++ b/catkincrank/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Schema of the messages between the project's own processes."""
--- /dev/null
+++ b/catkincrank/schema/control.capnp
@@ -0,0 +1,114 @@
+# Messages between keepers, and between a proxy and its keeper.
+#
+# A field is never renumbered or reused. A change that an older process would
+# misread raises SCHEMA_VERSION in catkincrank/messages.py.
+@0xb3c5d1f0a7e94c21;
+
+struct Envelope {
+  version @0 :UInt16;
+  union {
+    hello @1 :Hello;
+    heartbeat @2 :Heartbeat;
+    feedRequest @3 :FeedRequest;
+    feedUpdate @4 :FeedUpdate;
+    suspicionQuery @5 :SuspicionQuery;
+    suspicionReply @6 :SuspicionReply;
+    settingsRequest @7 :SettingsRequest;
+    settingsUpdate @8 :SettingsUpdate;
+  }
+}
+
+struct Hello {
+  name @0 :Text;
+  zone @1 :Text;
+  role @2 :Text;
+  incarnation @3 :Text;
+}
+
+struct Heartbeat {
+  name @0 :Text;
+  sequence @1 :UInt64;
+}
+
+struct Ballot {
+  term @0 :UInt64;
+  keeper @1 :Text;
+}
+
+struct LogMark {
+  term @0 :UInt64;
+  position @1 :UInt64;
+}
+
+struct History {
+  starts @0 :List(LogMark);
+}
+
+struct InstanceStatus {
+  endpoint @0 :Text;
+  incarnation @1 :Text;
+  role @2 :Role;
+  history @3 :History;
+  received @4 :UInt64;
+  replayed @5 :UInt64;
+  follows @6 :Text;
+  sealed @7 :Ballot;
+  connections @8 :UInt32;
+
+  enum Role {
+    primary @0;
+    replica @1;
+  }
+}
+
+struct Observation {
+  status @0 :InstanceStatus;
+  takenAt @1 :Float64;
+}
+
+struct FeedRequest {
+  groups @0 :List(Text);
+  stamp @1 :Float64;
+  urgent @2 :List(Text);
+}
+
+struct FeedUpdate {
+  group @0 :Text;
+  source @1 :Text;
+  echoStamp @2 :Float64;
+  echoReceived @3 :Float64;
+  observations @4 :List(Observation);
+}
+
+struct SuspicionQuery {
+  group @0 :Text;
+  endpoint @1 :Text;
+  number @2 :UInt64;
+}
+
+struct SuspicionReply {
+  group @0 :Text;
+  endpoint @1 :Text;
+  number @2 :UInt64;
+  keeper @3 :Text;
+  zone @4 :Text;
+  isSuspect @5 :Bool;
+  silentS @6 :Float64;
+  watches @7 :Bool;
+}
+
+struct TeamVersion {
+  team @0 :Text;
+  version @1 :UInt64;
+}
+
+struct SettingsRequest {
+  known @0 :List(TeamVersion);
+}
+
+struct SettingsUpdate {
+  team @0 :Text;
+  version @1 :UInt64;
+  body @2 :Data;
+  changeId @3 :Text;
+}
--- /dev/null
+++ b/tests/links.py
@@ -0,0 +1,22 @@
+"""Pairs of links over memory streams, for tests in virtual time."""
+
+import anyio
+from anyio.streams.stapled import StapledObjectStream
+
+from catkincrank.links import Link
+
+
+def make_pair(capacity: int = 1000) -> tuple[Link, Link]:
+    """Return two links, each the other's far end."""
+    first, second = make_streams(capacity)
+    return Link(first, 'first'), Link(second, 'second')
+
+
+def make_streams(capacity: int = 1000):
+    """Return two byte streams, each the other's far end."""
+    to_second, from_first = anyio.create_memory_object_stream(capacity)
+    to_first, from_second = anyio.create_memory_object_stream(capacity)
+    return (
+        StapledObjectStream(to_second, from_second),
+        StapledObjectStream(to_first, from_first),
+    )
--- /dev/null
+++ b/tests/test_clockbound.py
@@ -0,0 +1,38 @@
+import random
+
+import pytest
+
+from catkincrank.clockbound import ClockBound
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_translated_times_are_never_later_than_true(seed):
+    source = random.Random(seed)
+    offset = source.uniform(-1000, 1000)
+    bound = ClockBound()
+    now = 100.0
+    tightest = float('inf')
+    for _ in range(400):
+        sent_at = now
+        arrived_at = sent_at + source.expovariate(100)
+        taken_at = arrived_at + source.uniform(-0.2, 0.2)
+        now = max(arrived_at, taken_at) + source.expovariate(100)
+        bound.learn('p', sent_at, arrived_at + offset, now)
+        translated = bound.translate(taken_at + offset, now)
+        assert translated <= taken_at + 1e-6
+        tightest = min(tightest, taken_at - translated)
+    assert tightest < 0.005
+
+
+def test_new_source_forgets_the_old_clock():
+    bound = ClockBound()
+    bound.learn('p', 10, 5000, 11)
+    bound.learn('q', 12, 7, 13)
+    assert bound.translate(8, 14) <= 13
+
+
+def test_clock_that_stood_still_drops_older_bounds():
+    bound = ClockBound()
+    bound.learn('p', 10.0, 110.0, 10.1)
+    bound.learn('p', 11.0, 141.0, 11.1)
+    assert bound.translate(141.05, 11.1) == pytest.approx(11.05, abs=0.01)
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,85 @@
+import random
+
+import pytest
+
+from catkincrank import messages
+from catkincrank.errors import MessageError
+from catkincrank.history import History, TermStart
+from catkincrank.instance import Ballot, InstanceStatus, Observation, Role
+from catkincrank.messages import decode_message, encode_message
+
+HISTORY = History((TermStart(1, 0), TermStart(2, 100)))
+STATUSES = (
+    InstanceStatus('a', 'i1', Role.PRIMARY, HISTORY, 120, 120),
+    InstanceStatus(
+        'b',
+        'i2',
+        Role.REPLICA,
+        HISTORY,
+        2**40,
+        110,
+        'a',
+        Ballot(3, 'vm1'),
+        4,
+    ),
+)
+SAMPLES = {
+    'hello': messages.Hello('vm1', 'sapporo', 'keeper', 'x'),
+    'heartbeat': messages.Heartbeat('vm1', 7),
+    'feedRequest': messages.FeedRequest(('t/s', 't/r'), 1.25, ('t/s',)),
+    'feedUpdate': messages.FeedUpdate(
+        't/s',
+        'x',
+        1.25,
+        2.5,
+        tuple(Observation(status, 3.5) for status in STATUSES),
+    ),
+    'suspicionQuery': messages.SuspicionQuery('t/s', 'a', 9),
+    'suspicionReply': messages.SuspicionReply(
+        't/s',
+        'a',
+        9,
+        'vm2',
+        'kushiro',
+        is_suspect=True,
+        silent_s=2.5,
+        watches=True,
+    ),
+    'settingsRequest': messages.SettingsRequest(
+        (messages.TeamVersion('t', 3),),
+    ),
+    'settingsUpdate': messages.SettingsUpdate('t', 4, b'\0{}\xff', 'c1'),
+}
+
+
+@pytest.mark.parametrize('member', messages.messages.names())
+def test_round_trip(member):
+    assert decode_message(encode_message(SAMPLES[member])) == SAMPLES[member]
+
+
+def test_other_schema_version_is_refused(monkeypatch):
+    monkeypatch.setattr(messages, 'SCHEMA_VERSION', 2)
+    newer = encode_message(SAMPLES['hello'])
+    monkeypatch.undo()
+    with pytest.raises(MessageError, match='schema version 2'):
+        decode_message(newer)
+
+
+@pytest.mark.parametrize('member', messages.messages.names())
+def test_damage_is_refused_or_read_as_a_message(member):
+    source = random.Random(member)
+    whole = encode_message(SAMPLES[member])
+    refused = 0
+    for _ in range(2000):
+        damaged = bytearray(whole[: source.randint(1, len(whole))])
+        damaged[source.randrange(len(damaged))] = source.randrange(256)
+        try:
+            decode_message(bytes(damaged))
+        except MessageError:
+            refused += 1
+    assert refused > 100
+
+
+def test_value_outside_the_schema_is_refused():
+    with pytest.raises(MessageError):
+        encode_message(messages.Heartbeat('vm1', -1))
