--- a/catkincrank/cmdline.py
+++ b/catkincrank/cmdline.py
@@ -1,29 +1,40 @@
-"""Command line of the product; thin, each command calls the library."""
+"""Entry point: daemons start lean, other commands through ``commands``."""
 
-import typer
+import sys
 
-from catkincrank import __version__
+from catkincrank.errors import CatkincrankError, OptionError
+from catkincrank.programs import PROGRAMS, run_program
 
-__all__ = ('app', 'main')
+__all__ = ('main',)
 
-app = typer.Typer(
-    no_args_is_help=True,
-    pretty_exceptions_enable=False,
-    context_settings={'auto_envvar_prefix': 'CATKINCRANK'},
-)
-
-
-@app.callback()
-def describe() -> None:
-    """Database proxy with session consistency."""
-
-
-@app.command()
-def version() -> None:
-    """Print the version."""
-    typer.echo(__version__)
+_FAILED = 1
+_BAD_INPUT = 2
 
 
 def main() -> None:
-    """Run the command line."""
-    app()
+    """Run the command line and exit with its status."""
+    arguments = sys.argv[1:]
+    try:
+        sys.exit(_run(arguments))
+    except OptionError as error:
+        _complain(error)
+        sys.exit(_BAD_INPUT)
+    except CatkincrankError as error:
+        _complain(error)
+        sys.exit(_FAILED)
+
+
+def _run(arguments: list[str]) -> int:
+    if arguments and arguments[0] in PROGRAMS:
+        return run_program(arguments[0], arguments[1:])
+    # Loading the command-line library costs a daemon several megabytes.
+    from catkincrank.commands.application import (  # noqa: WPS433
+        run_application,
+    )
+
+    return run_application(arguments)
+
+
+def _complain(error: Exception) -> None:
+    line = ' '.join(str(error).split())
+    sys.stderr.write('catkincrank: {0}\n'.format(line))
--- /dev/null
+++ b/catkincrank/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands for operators, one module for each noun."""
--- /dev/null
+++ b/catkincrank/commands/parameters.py
@@ -0,0 +1,59 @@
+"""Flags that several commands share."""
+
+from typing import Annotated
+
+import typer
+
+from catkincrank.adminclient import AdminAddress
+from catkincrank.errors import OptionError
+
+__all__ = (
+    'AdminList',
+    'AuthorFlag',
+    'CredentialFlag',
+    'StoreFlag',
+    'TeamArgument',
+    'parse_addresses',
+)
+
+StoreFlag = Annotated[
+    str,
+    typer.Option(
+        '--store',
+        envvar='CATKINCRANK_STORE',
+        help="URL of the platform's service.",
+    ),
+]
+CredentialFlag = Annotated[
+    str,
+    typer.Option(
+        '--credential',
+        envvar='CATKINCRANK_CREDENTIAL',
+        help='TEAM:SECRET; better given by the variable.',
+    ),
+]
+AuthorFlag = Annotated[
+    str,
+    typer.Option(
+        '--author',
+        envvar='CATKINCRANK_AUTHOR',
+        help='Who makes the change, for the history.',
+    ),
+]
+AdminList = Annotated[
+    str,
+    typer.Option(
+        '--admin',
+        envvar='CATKINCRANK_ADMIN',
+        help='Admin ports, HOST:PORT, parted by commas.',
+    ),
+]
+TeamArgument = Annotated[str, typer.Argument(help='Name of the team.')]
+
+
+def parse_addresses(text: str) -> tuple[AdminAddress, ...]:
+    """Return the addresses that a list parted by commas names."""
+    parts = [part for part in text.split(',') if part.strip()]
+    if not parts:
+        raise OptionError('--admin', text, 'one or more of HOST:PORT')
+    return tuple(AdminAddress.parse(part) for part in parts)
--- /dev/null
+++ b/catkincrank/explanation.py
@@ -0,0 +1,63 @@
+"""Stories told from the journals of several processes."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from catkincrank.adminclient import ProcessState
+from catkincrank.journal import Event
+
+__all__ = ('collect_events', 'describe_event', 'last_story')
+
+_QUIET_GAP_S = 60
+_GROUP = 'group'
+
+
+def collect_events(states: Iterable[ProcessState]) -> list[Event]:
+    """Return the events of all journals, ordered by time."""
+    events = [
+        msgspec.convert(entry, Event)
+        for process in states
+        for entry in process.state.get('journal', [])
+    ]
+    return sorted(
+        events,
+        key=lambda event: (event.at, event.source, event.sequence),
+    )
+
+
+def last_story(events: Iterable[Event], group: str) -> list[Event]:
+    """Return the newest run of events about ``group`` that had no long pause.
+
+    A failover's events follow one another closely, so a quiet minute parts
+    one story from the next.
+    """
+    story: list[Event] = []
+    for event in events:
+        if not _concerns(event, group):
+            continue
+        if story and event.at - story[-1].at > _QUIET_GAP_S:
+            story = []
+        story.append(event)
+    return story
+
+
+def describe_event(event: Event, began_at: float) -> str:
+    """Return one line that tells an event."""
+    evidence = ', '.join(
+        '{0}={1}'.format(name, shown)
+        for name, shown in sorted(event.evidence.items())
+    )
+    return '{0:+8.3f} s  {1:<12}  {2}: {3}; {4}{5}'.format(
+        event.at - began_at,
+        event.source,
+        event.name,
+        event.cause,
+        event.outcome,
+        ' [{0}]'.format(evidence) if evidence else '',
+    )
+
+
+def _concerns(event: Event, group: str) -> bool:
+    named = {event.subject, event.evidence.get(_GROUP, '')}
+    return group in named or event.subject.startswith('{0}/'.format(group))
--- /dev/null
+++ b/catkincrank/settingsindex.py
@@ -0,0 +1,90 @@
+"""Index of the newest settings changes: the one row that readers poll.
+
+Each write of the row adds one entry, so the row's version numbers the entries
+and the newest entry's number is the row's version.
+"""
+
+from typing import final
+
+import anyio
+import msgspec
+
+from catkincrank.errors import ConflictError, StoreUnavailableError
+from catkincrank.store import ABSENT, Row, Store
+
+__all__ = (
+    'INDEX_KEY',
+    'IndexEntry',
+    'announce_change',
+    'decode_index',
+    'encode_index',
+)
+
+INDEX_KEY = 'settings-index'
+_KEPT_ENTRIES = 48
+_ATTEMPTS = 8
+_RETRY_DELAY_S = 0.02
+
+
+@final
+class IndexEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Says that a team's subtree reaches a version.
+
+    The entry is written before the subtree, so a reader may find the older
+    version for a moment, or for good when the change was then refused.
+
+    Attributes:
+        sequence: Number of the entry; rises by one.
+        team: The team.
+        version: Version that its subtree reaches.
+    """
+
+    sequence: int
+    team: str
+    version: int
+
+
+def encode_index(entries: tuple[IndexEntry, ...]) -> bytes:
+    """Return the row's body."""
+    return msgspec.msgpack.encode(entries)
+
+
+def decode_index(row: Row | None) -> tuple[IndexEntry, ...]:
+    """Return the entries of the row, oldest first."""
+    if row is None:
+        return ()
+    return msgspec.msgpack.decode(row.body, type=tuple[IndexEntry, ...])
+
+
+async def announce_change(store: Store, team: str, version: int) -> None:
+    """Add an entry for ``team``.
+
+    Raises:
+        StoreUnavailableError: The store did not take it.
+    """
+    attempts = 0
+    while not await _append_entry(store, team, version):
+        attempts += 1
+        if attempts == _ATTEMPTS:
+            raise StoreUnavailableError(
+                'index is contended',
+                may_have_applied=False,
+            )
+        await anyio.sleep(_RETRY_DELAY_S * attempts)
+
+
+async def _append_entry(store: Store, team: str, version: int) -> bool:
+    row = await store.read(INDEX_KEY)
+    expected = ABSENT if row is None else row.version
+    entry = IndexEntry(expected + 1, team, version)
+    kept = (*decode_index(row), entry)[-_KEPT_ENTRIES:]
+    try:
+        await store.write(
+            INDEX_KEY,
+            encode_index(kept),
+            expected_version=expected,
+            change_id='{0}/{1}/{2}'.format(entry.sequence, team, version),
+        )
+    except ConflictError:
+        return False
+    return True
--- /dev/null
+++ b/tests/test_subtree.py
@@ -0,0 +1,58 @@
+import pytest
+
+from catkincrank.store import Row
+from catkincrank.subtree import SettingsBook, team_of_key
+
+
+def row(version, body=b'{"weight":1}', team='sawari'):
+    return Row('settings/{0}'.format(team), version, body, 'c')
+
+
+@pytest.mark.parametrize(
+    ('offers', 'accepted', 'in_force'),
+    [
+        ([row(1), row(2)], [True, True], 2),
+        ([row(2), row(1)], [True, False], 2),
+        ([row(1), row(1, b'{"weight":2}')], [True, False], 1),
+        ([row(1), row(2, b'{"wieght":1}')], [True, False], 1),
+        ([Row('groups/sawari', 3, b'{}', 'c')], [False], 0),
+    ],
+)
+def test_only_newer_valid_rows_count(offers, accepted, in_force):
+    book = SettingsBook()
+    assert [book.offer(each) for each in offers] == accepted
+    assert book.version('sawari') == in_force
+
+
+def test_floor_refuses_what_the_fleet_has_left_behind():
+    book = SettingsBook()
+    book.raise_floor('sawari', 3)
+    assert not book.offer(row(2))
+    assert book.lacks('sawari')
+    assert book.offer(row(4))
+    assert not book.lacks('sawari')
+
+
+def test_refused_row_is_reported_until_replaced():
+    book = SettingsBook()
+    book.offer(row(2, b'{"wieght":1}'))
+    assert book.refusals()['sawari'].version == 2
+    book.offer(row(3))
+    assert not book.refusals()
+
+
+def test_age_and_digest():
+    book, other = SettingsBook(), SettingsBook()
+    assert book.age(5) == float('inf')
+    book.confirm(3)
+    book.confirm(1)
+    assert book.age(5) == 2
+    book.offer(row(1))
+    assert book.digest() != other.digest()
+    other.offer(row(1))
+    assert book.digest() == other.digest()
+
+
+def test_team_of_key():
+    assert team_of_key('settings/sawari') == 'sawari'
+    assert not team_of_key('history/sawari')
