--- a/catkincrank/logs.py
+++ b/catkincrank/logs.py
@@ -16,7 +16,7 @@
 _SECRET_FIELD = re.compile('password|secret|passphrase', re.IGNORECASE)
 _SECRET_TEXT = re.compile(r'(?i)((?:password|secret)["\']?\s*[=:]\s*)\S+')
 _URL_LOGIN = re.compile(r'(?<=://)([^:/@\s]+):[^@\s]+@')
-_FIELDS = 'fields'
+_EVENT = 'event'
 
 
 def configure_logs(source: str, sink: TextIO = sys.stderr) -> None:
@@ -28,7 +28,7 @@
 
 def log_event(event: str, level: str = 'INFO', **fields: Any) -> None:
     """Log one event with its typed fields."""
-    logger.bind(fields=fields).log(level, event)
+    logger.bind(event=event, **fields).log(level, event)
 
 
 def redact(value: Any, name: str = '') -> Any:
@@ -73,14 +73,16 @@
 
 
 def _format_record(record: Any) -> str:
-    extra = record['extra']
+    fields = dict(record['extra'])
+    event = fields.pop(_EVENT, 'message')
     line = {
         'time': record['time'].isoformat(),
         'level': record['level'].name,
-        'event': record['message'],
-        'source': extra.get('source', ''),
-        **extra.get(_FIELDS, {}),
+        _EVENT: event,
+        **fields,
     }
+    if record['message'] != event:
+        line['message'] = record['message']
     if record['exception'] is not None:
         line['error'] = repr(record['exception'].value)
     encoded = msgspec.json.encode(redact(line), enc_hook=str)
--- a/catkincrank/options.py
+++ b/catkincrank/options.py
@@ -102,7 +102,7 @@
 def _make_parser(kind: type[Any]) -> _Parser:
     parser = _Parser(
         prog='catkincrank {0}'.format(
-            kind.__name__.removesuffix('Options').lower(),
+            kind.__name__.removesuffix('Flags').lower(),
         ),
         allow_abbrev=False,
     )
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -7,7 +7,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SampleOptions:
+class SampleFlags:
     """Options of a sample.
 
     Attributes:
@@ -25,11 +25,11 @@
 
 def test_flags_go_before_the_environment():
     options = parse_options(
-        SampleOptions,
+        SampleFlags,
         ['--name', 'a', '--peers', 'x, y', '--is-lazy'],
         {'CATKINCRANK_NAME': 'b', 'CATKINCRANK_PORT': '9'},
     )
-    assert options == SampleOptions('a', 9, True, ('x', 'y'))
+    assert options == SampleFlags('a', 9, True, ('x', 'y'))
 
 
 @pytest.mark.parametrize(
@@ -43,11 +43,11 @@
 )
 def test_refuses(arguments, message):
     with pytest.raises(OptionError, match=message):
-        parse_options(SampleOptions, arguments, {})
+        parse_options(SampleFlags, arguments, {})
 
 
 def test_help_lists_fields_with_their_descriptions(capsys):
     with pytest.raises(SystemExit):
-        parse_options(SampleOptions, ['--help'], {})
+        parse_options(SampleFlags, ['--help'], {})
     shown = ' '.join(capsys.readouterr().out.split())
     assert 'Port that it listens on. [CATKINCRANK_PORT]' in shown
