Add settings messages and split the envelope from them

The form (envelope, registry) and the settings messages now have modules of their own; ``messages`` still offers all.

--- a/catkincrank/messages.py
+++ b/catkincrank/messages.py
@@ -1,21 +1,26 @@
-"""Messages between the project's own processes, and their Cap'n Proto form.
-
-Each message is a frozen data class filed under its member of the schema's
-``Envelope`` union. ``encode_message`` and ``decode_message`` are the only way
-to bytes and back; whatever is not a whole message of a known version raises
-``MessageError``.
-"""
+"""Messages between the project's own processes; ``envelope`` has their form."""
 
 from dataclasses import dataclass
-from pathlib import Path
-from typing import Any, Protocol, TypeVar, final
-
-import capnp
-
-from catkincrank.codec import build_packer, build_unpacker
-from catkincrank.errors import MessageError
+from typing import final
+
+from catkincrank.envelope import (
+    SCHEMA_VERSION,
+    Message,
+    decode_message,
+    encode_message,
+    file_message,
+    messages,
+)
 from catkincrank.instance import Observation
-from catkincrank.registry import Registry
+from catkincrank.settingsmessages import (
+    SettingsDelta,
+    SettingsDigest,
+    SettingsEntry,
+    SettingsPush,
+    SettingsRequest,
+    SettingsUpdate,
+    TeamVersion,
+)
 
 __all__ = (
     'SCHEMA_VERSION',
@@ -24,6 +29,10 @@
     'Heartbeat',
     'Hello',
     'Message',
+    'SettingsDelta',
+    'SettingsDigest',
+    'SettingsEntry',
+    'SettingsPush',
     'SettingsRequest',
     'SettingsUpdate',
     'SuspicionQuery',
@@ -34,36 +43,8 @@
     'messages',
 )
 
-SCHEMA_VERSION = 1
-
-_SCHEMA_PATH = Path(__file__).parent / 'schema' / 'control.capnp'
-_MessageT = TypeVar('_MessageT', bound=type)
-
-capnp.remove_import_hook()
-_schema = capnp.load(str(_SCHEMA_PATH))
-
-
-class Message(Protocol):
-    """Any message that ``messages`` holds."""
-
-
-messages: Registry[type[Any]] = Registry('message')
-_members: dict[type[Any], str] = {}
-_packers: dict[type[Any], Any] = {}
-_unpackers: dict[str, Any] = {}
-
-
-def _file(member: str) -> Any:
-    def decorate(message_type: _MessageT) -> _MessageT:  # noqa: WPS430
-        _members[message_type] = member
-        _packers[message_type] = build_packer(message_type)
-        _unpackers[member] = build_unpacker(message_type)
-        return messages.register(member)(message_type)
 
-    return decorate
-
-
-@_file('hello')
+@file_message('hello')
 @final
 @dataclass(frozen=True, slots=True)
 class Hello:
@@ -82,7 +63,7 @@
     incarnation: str
 
 
-@_file('heartbeat')
+@file_message('heartbeat')
 @final
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
@@ -97,7 +78,7 @@
     sequence: int
 
 
-@_file('feedRequest')
+@file_message('feedRequest')
 @final
 @dataclass(frozen=True, slots=True)
 class FeedRequest:
@@ -114,7 +95,7 @@
     urgent: tuple[str, ...] = ()
 
 
-@_file('feedUpdate')
+@file_message('feedUpdate')
 @final
 @dataclass(frozen=True, slots=True)
 class FeedUpdate:
@@ -135,7 +116,7 @@
     observations: tuple[Observation, ...] = ()
 
 
-@_file('suspicionQuery')
+@file_message('suspicionQuery')
 @final
 @dataclass(frozen=True, slots=True)
 class SuspicionQuery:
@@ -152,7 +133,7 @@
     number: int
 
 
-@_file('suspicionReply')
+@file_message('suspicionReply')
 @final
 @dataclass(frozen=True, slots=True)
 class SuspicionReply:
@@ -177,95 +158,3 @@
     is_suspect: bool
     silent_s: float
     watches: bool
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class TeamVersion:
-    """Version of one team's subtree.
-
-    Attributes:
-        team: Name of the team.
-        version: Version of its row in the store.
-    """
-
-    team: str
-    version: int
-
-
-@_file('settingsRequest')
-@final
-@dataclass(frozen=True, slots=True)
-class SettingsRequest:
-    """Asks for subtrees that are newer than the ones known.
-
-    Attributes:
-        known: Teams wanted, each with the version held; 0 for none.
-    """
-
-    known: tuple[TeamVersion, ...] = ()
-
-
-@_file('settingsUpdate')
-@final
-@dataclass(frozen=True, slots=True)
-class SettingsUpdate:
-    """One version of a team's subtree.
-
-    Attributes:
-        team: Name of the team.
-        version: Version of its row in the store.
-        body: The row's bytes.
-        change_id: Identifier of the change.
-    """
-
-    team: str
-    version: int
-    body: bytes
-    change_id: str
-
-
-def encode_message(message: Message) -> bytes:
-    """Return the bytes of ``message``.
-
-    Raises:
-        MessageError: A field does not fit the schema.
-    """
-    message_type = type(message)
-    packed = {
-        'version': SCHEMA_VERSION,
-        _members[message_type]: _packers[message_type](message),
-    }
-    try:
-        return _schema.Envelope.new_message(**packed).to_bytes()
-    except (capnp.KjException, OverflowError, ValueError) as error:
-        raise MessageError(str(error)) from error
-
-
-def decode_message(body: bytes) -> Message:
-    """Return the message that ``body`` holds.
-
-    Raises:
-        MessageError: The bytes are not a whole message of a known version.
-    """
-    try:
-        with _schema.Envelope.from_bytes(body) as envelope:
-            unpacked = envelope.to_dict()
-    except (capnp.KjException, RuntimeError, ValueError) as error:
-        raise MessageError(str(error).splitlines()[0]) from None
-    version = unpacked.pop('version', 0)
-    if version != SCHEMA_VERSION:
-        raise MessageError('schema version {0}'.format(version))
-    return _unpack(unpacked)
-
-
-def _unpack(unpacked: dict[str, Any]) -> Message:
-    for member, unpack in _unpackers.items():
-        packed = unpacked.get(member)
-        if packed is None:
-            continue
-        try:
-            return unpack(packed)
-        except (KeyError, TypeError, ValueError) as error:
-            raise MessageError('{0}: {1!r}'.format(member, error)) from None
-    raise MessageError('unknown kind of message')
--- /dev/null
+++ b/catkincrank/relaywindow.py
@@ -0,0 +1,103 @@
+"""Window of the newest index entries that a node has learnt.
+
+The store numbers the entries one by one, so one number, the sequence up to
+which a node has learnt them all, is the digest of what it knows.
+"""
+
+from collections import OrderedDict
+from typing import final
+
+from catkincrank.settingsmessages import SettingsEntry
+from catkincrank.store import Row
+
+__all__ = ('EntryWindow', 'RowCache')
+
+_KEPT_ENTRIES = 256
+_KEPT_ROWS = 32
+
+
+@final
+class EntryWindow:
+    """Entries by number, and the number up to which none is missing.
+
+    Attributes:
+        sequence: Every entry up to this number has been learnt.
+    """
+
+    __slots__ = ('_entries', '_unseen_below', 'sequence')
+
+    def __init__(self) -> None:
+        self.sequence = 0
+        self._entries: dict[int, SettingsEntry] = {}
+        self._unseen_below = 1
+
+    @property
+    def oldest(self) -> int:
+        """Number of the first entry from which on none is missing."""
+        return self._unseen_below
+
+    def begin_at(self, oldest: int) -> None:
+        """Give up on entries before ``oldest``."""
+        self._unseen_below = max(self._unseen_below, oldest)
+        self.sequence = max(self.sequence, oldest - 1)
+        self._advance()
+
+    def add(self, entry: SettingsEntry) -> bool:
+        """Keep ``entry``; return whether it says anything new."""
+        held = self._entries.get(entry.sequence)
+        if entry.sequence < self._unseen_below:
+            return False
+        if held is not None and (held.is_accepted or not entry.is_accepted):
+            return False
+        self._entries[entry.sequence] = entry
+        self._advance()
+        return True
+
+    def list_after(self, sequence: int) -> tuple[SettingsEntry, ...]:
+        """Return the entries after ``sequence`` up to the watermark."""
+        first = max(sequence + 1, self._unseen_below)
+        numbers = range(first, self.sequence + 1)
+        return tuple(self._entries[number] for number in numbers)
+
+    def accept(self, team: str, version: int) -> None:
+        """Note that ``team`` has reached ``version``."""
+        for number, entry in self._entries.items():
+            if entry.team == team and entry.version <= version:
+                self._entries[number] = SettingsEntry(
+                    number,
+                    team,
+                    entry.version,
+                    is_accepted=True,
+                )
+
+    def _advance(self) -> None:
+        while self.sequence + 1 in self._entries:
+            self.sequence += 1
+        expired = self.sequence - _KEPT_ENTRIES
+        while self._unseen_below <= expired:
+            self._entries.pop(self._unseen_below, None)
+            self._unseen_below += 1
+
+
+@final
+class RowCache:
+    """The newest rows that passed through a node, whoever serves them."""
+
+    __slots__ = ('_rows',)
+
+    def __init__(self) -> None:
+        self._rows: OrderedDict[str, Row] = OrderedDict()
+
+    def put(self, team: str, row: Row) -> None:
+        """Keep ``row`` unless a newer one is kept."""
+        held = self._rows.get(team)
+        if held is not None and held.version >= row.version:
+            return
+        self._rows[team] = row
+        self._rows.move_to_end(team)
+        if len(self._rows) > _KEPT_ROWS:
+            self._rows.popitem(last=False)
+
+    def find(self, team: str) -> Row | None:
+        """Return the row kept for ``team``, or ``None``."""
+        return self._rows.get(team)
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -15,6 +15,9 @@
     suspicionReply @6 :SuspicionReply;
     settingsRequest @7 :SettingsRequest;
     settingsUpdate @8 :SettingsUpdate;
+    settingsDigest @9 :SettingsDigest;
+    settingsDelta @10 :SettingsDelta;
+    settingsPush @11 :SettingsPush;
   }
 }
 
@@ -112,3 +115,30 @@
   body @2 :Data;
   changeId @3 :Text;
 }
+
+struct SettingsEntry {
+  sequence @0 :UInt64;
+  team @1 :Text;
+  version @2 :UInt64;
+  isAccepted @3 :Bool;
+}
+
+struct SettingsDigest {
+  sequence @0 :UInt64;
+  stamp @1 :Float64;
+}
+
+struct SettingsDelta {
+  sequence @0 :UInt64;
+  oldest @1 :UInt64;
+  stamp @2 :Float64;
+  ageS @3 :Float64;
+  entries @4 :List(SettingsEntry);
+}
+
+struct SettingsPush {
+  entry @0 :SettingsEntry;
+  body @1 :Data;
+  changeId @2 :Text;
+  crossesZones @3 :Bool;
+}
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from catkincrank import messages
+from catkincrank import envelope, messages
 from catkincrank.errors import MessageError
 from catkincrank.history import History, TermStart
 from catkincrank.instance import Ballot, InstanceStatus, Observation, Role
@@ -45,6 +45,20 @@
         silent_s=2.5,
         watches=True,
     ),
+    'settingsDigest': messages.SettingsDigest(7, 1.5),
+    'settingsDelta': messages.SettingsDelta(
+        9,
+        4,
+        1.5,
+        0.25,
+        (messages.SettingsEntry(8, 't', 3, is_accepted=True),),
+    ),
+    'settingsPush': messages.SettingsPush(
+        messages.SettingsEntry(8, 't', 3),
+        b'{}',
+        'c',
+        crosses_zones=True,
+    ),
     'settingsRequest': messages.SettingsRequest(
         (messages.TeamVersion('t', 3),),
     ),
@@ -58,7 +72,7 @@
 
 
 def test_other_schema_version_is_refused(monkeypatch):
-    monkeypatch.setattr(messages, 'SCHEMA_VERSION', 2)
+    monkeypatch.setattr(envelope, 'SCHEMA_VERSION', 2)
     newer = encode_message(SAMPLES['hello'])
     monkeypatch.undo()
     with pytest.raises(MessageError, match='schema version 2'):
