--- /dev/null
+++ b/catkincrank/fleetinvariants.py
@@ -0,0 +1,212 @@
+"""Checkers of what is promised about endpoints, proxies and settings."""
+
+import itertools
+from collections import defaultdict
+from collections.abc import Iterator
+
+from catkincrank.records import (
+    DrainBegan,
+    LeavingChanged,
+    ProcessChanged,
+    ProcessState,
+    RecordedHistory,
+    RequestAnswered,
+    SettingsAccepted,
+    SettingsInForce,
+    StatementPlace,
+    StatementRan,
+)
+from catkincrank.violation import INVARIANTS, Violation
+
+__all__ = ('check_drains', 'check_leaving', 'check_settings')
+
+_LEAVING_BOUND_S = 5
+_SETTINGS_BOUND_S = 11
+_NEVER = float('inf')
+_BEGINS = frozenset((StatementPlace.FIRST, StatementPlace.ALONE))
+_DOWN = frozenset(
+    (ProcessState.STOPPED, ProcessState.KILLED, ProcessState.ISOLATED),
+)
+
+
+@INVARIANTS.register('leaving_endpoint_gets_no_work')
+def check_leaving(history: RecordedHistory) -> Iterator[Violation]:
+    """A leaving endpoint begins no transaction after a few seconds."""
+    changes = sorted(history.of_kind(LeavingChanged), key=_at)
+    for ran in history.of_kind(StatementRan):
+        since = _leaving_since(changes, ran)
+        if ran.place in _BEGINS and ran.at > since + _LEAVING_BOUND_S:
+            yield Violation(
+                ran.endpoint,
+                '{0} began there at {1} s, leaving since {2} s'.format(
+                    ran.transaction,
+                    ran.at,
+                    since,
+                ),
+            )
+
+
+def _leaving_since(changes: list[LeavingChanged], ran: StatementRan) -> float:
+    since = _NEVER
+    for change in changes:
+        if change.endpoint != ran.endpoint or change.at > ran.at:
+            continue
+        since = min(since, change.at) if change.is_leaving else _NEVER
+    return since
+
+
+@INVARIANTS.register('drain_cuts_nothing')
+def check_drains(history: RecordedHistory) -> Iterator[Violation]:
+    """A proxy that shuts down gracefully answers all that it took."""
+    killed = {
+        change.process
+        for change in history.of_kind(ProcessChanged)
+        if change.state is ProcessState.KILLED
+    }
+    answers = {
+        answer.request: answer for answer in history.of_kind(RequestAnswered)
+    }
+    drained = {one.proxy for one in history.of_kind(DrainBegan)} - killed
+    for request in history.submissions().values():
+        if request.proxy not in drained:
+            continue
+        answer = answers.get(request.request)
+        if answer is None or answer.is_cut:
+            explanation = 'cut or not answered by {0}, which drained'
+            yield Violation(request.request, explanation.format(request.proxy))
+
+
+@INVARIANTS.register('settings_in_force_never_revert')
+def check_settings(history: RecordedHistory) -> Iterator[Violation]:
+    """Accepted settings reach every proxy soon and never go back."""
+    yield from _find_rival_versions(history)
+    yield from _find_reverts(history)
+    yield from _find_late(history)
+
+
+def _find_rival_versions(history: RecordedHistory) -> Iterator[Violation]:
+    accepted: dict[tuple[str, int], str] = {}
+    newest: dict[str, int] = defaultdict(int)
+    for one in sorted(history.of_kind(SettingsAccepted), key=_at):
+        known = accepted.setdefault((one.team, one.version), one.change_id)
+        if known != one.change_id or one.version < newest[one.team]:
+            yield Violation(
+                one.team,
+                'version {0} was accepted from {1} after {2}'.format(
+                    one.version,
+                    one.change_id,
+                    known,
+                ),
+            )
+        newest[one.team] = max(newest[one.team], one.version)
+    for used in history.of_kind(SettingsInForce):
+        if accepted.get((used.team, used.version)) != used.change_id:
+            yield Violation(
+                used.process,
+                '{0} of {1} version {2} was never accepted'.format(
+                    used.change_id,
+                    used.team,
+                    used.version,
+                ),
+            )
+
+
+def _find_reverts(history: RecordedHistory) -> Iterator[Violation]:
+    newest: dict[tuple[str, str], int] = defaultdict(int)
+    for used in sorted(history.of_kind(SettingsInForce), key=_at):
+        place = (used.process, used.team)
+        if used.version < newest[place]:
+            yield Violation(
+                used.process,
+                'went from version {0} of {1} back to {2}'.format(
+                    newest[place],
+                    used.team,
+                    used.version,
+                ),
+            )
+        newest[place] = max(newest[place], used.version)
+
+
+def _find_late(history: RecordedHistory) -> Iterator[Violation]:
+    """Find processes that could learn a version but did not in time."""
+    ends_at = max(map(_at, _list_timed(history)), default=0)
+    used = history.of_kind(SettingsInForce)
+    changes = sorted(history.of_kind(ProcessChanged), key=_at)
+    processes = {one.process for one in used}
+    versions = history.of_kind(SettingsAccepted)
+    for accepted, process in itertools.product(versions, sorted(processes)):
+        since = _reachable_since(changes, process, accepted.at)
+        due = max(accepted.at, since) + _SETTINGS_BOUND_S
+        if due > ends_at or _goes_down(changes, process, since, due):
+            continue
+        if not _has_in_force(used, process, accepted, due):
+            explanation = 'version {0} of {1} was not in force at {2} s'
+            yield Violation(
+                process,
+                explanation.format(accepted.version, accepted.team, due),
+            )
+
+
+def _list_timed(
+    history: RecordedHistory,
+) -> list[SettingsAccepted | SettingsInForce | ProcessChanged]:
+    return [
+        *history.of_kind(SettingsAccepted),
+        *history.of_kind(SettingsInForce),
+        *history.of_kind(ProcessChanged),
+    ]
+
+
+def _reachable_since(
+    changes: list[ProcessChanged],
+    process: str,
+    at: float,
+) -> float:
+    """Return since when, seen from ``at``, the process is up for good."""
+    since = float(0)
+    for change in changes:
+        if change.process != process:
+            continue
+        if change.state not in _DOWN:
+            since = change.at
+        elif change.at <= at:
+            since = _NEVER
+    return since
+
+
+def _goes_down(
+    changes: list[ProcessChanged],
+    process: str,
+    since: float,
+    until: float,
+) -> bool:
+    return any(
+        change.process == process
+        and change.state in _DOWN
+        and since <= change.at <= until
+        for change in changes
+    )
+
+
+def _has_in_force(
+    used: list[SettingsInForce],
+    process: str,
+    accepted: SettingsAccepted,
+    due: float,
+) -> bool:
+    return any(
+        one.process == process
+        and one.team == accepted.team
+        and one.version >= accepted.version
+        and one.at <= due
+        for one in used
+    )
+
+
+def _at(
+    record: LeavingChanged
+    | SettingsAccepted
+    | SettingsInForce
+    | ProcessChanged,
+) -> float:
+    return record.at
