Add deployments, load callers and the trial

Change: profiles as data files, open arrivals with sessions that move, records of what callers and instances saw, faults on a timeline, the try command.

--- a/catkincrank/commands/application.py
+++ b/catkincrank/commands/application.py
@@ -12,6 +12,7 @@
     settings,
     state,
     status,
+    trial,
 )
 from catkincrank.errors import OptionError
 from catkincrank.programs import run_program
@@ -35,6 +36,7 @@
 app.command('drain')(drain.drain_process)
 app.command('status')(status.show_status)
 app.command('explain')(explain.explain_failover)
+app.command('try')(trial.try_deployment)
 
 
 @app.callback()
--- a/catkincrank/endpoints/libpq.py
+++ b/catkincrank/endpoints/libpq.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Generator, Sequence
 from types import MappingProxyType
-from typing import Any
+from typing import Any, final
 
 import anyio
 from psycopg import Error, generators, pq
@@ -22,6 +22,7 @@
 from catkincrank.errors import EndpointError
 
 __all__ = (
+    'SessionEndedError',
     'check_connection',
     'fetch_results',
     'open_connection',
@@ -61,6 +62,22 @@
 )
 
 
+@final
+class SessionEndedError(EndpointError):
+    """The server ended the connection and said why.
+
+    Args:
+        reason: Its message.
+        sqlstate: Its SQLSTATE.
+        detail: Its DETAIL.
+    """
+
+    def __init__(self, reason: str, sqlstate: str, detail: str) -> None:
+        super().__init__(reason, was_sent=True)
+        self.sqlstate = sqlstate
+        self.detail = detail
+
+
 async def open_connection(conninfo: str) -> pq.abc.PGconn:
     """Open a connection.
 
@@ -188,7 +205,10 @@
     sqlstate = _read_field(result, pq.DiagnosticField.SQLSTATE)
     message = _read_field(result, pq.DiagnosticField.MESSAGE_PRIMARY)
     severity = _read_field(result, pq.DiagnosticField.SEVERITY)
-    if not sqlstate or severity in _FATAL:
+    if sqlstate and severity in _FATAL:
+        detail = _read_field(result, pq.DiagnosticField.MESSAGE_DETAIL)
+        raise SessionEndedError(message, sqlstate, detail)
+    if not sqlstate:
         reason = message or result.get_error_message(_ENCODING).strip()
         reason = reason or 'the statement mode is not supported'
         raise EndpointError(reason, was_sent=True)
--- /dev/null
+++ b/catkincrank/load/connection.py
@@ -0,0 +1,129 @@
+"""A caller's connection: libpq through the product's own thin layer."""
+
+from dataclasses import dataclass
+from typing import final
+
+import anyio
+from psycopg import pq
+from psycopg.conninfo import make_conninfo
+
+from catkincrank.endpoint import Answer, StatementError
+from catkincrank.endpoints import libpq
+from catkincrank.errors import EndpointError
+from catkincrank.verdict import Verdict
+
+__all__ = ('CallerConnection', 'Target', 'read_detail', 'read_verdict')
+
+_DETAIL = 'D'
+_VERDICT_PREFIX = 'verdict: '
+_CONNECT_LIMIT_S = 3.0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Where callers connect to.
+
+    Attributes:
+        name: Name of the proxy.
+        host: IP number.
+        port: TCP port.
+        user: Login.
+        password: Its password.
+    """
+
+    name: str
+    host: str
+    port: int
+    user: str = 'caller'
+    password: str = ''
+
+    def __repr__(self) -> str:
+        return 'Target({0!r}, {1!r}, {2})'.format(
+            self.name,
+            self.host,
+            self.port,
+        )
+
+
+@final
+class CallerConnection:
+    """An open connection to a proxy.
+
+    Args:
+        pgconn: The connection.
+        target: Where it leads.
+    """
+
+    def __init__(self, pgconn: pq.abc.PGconn, target: Target) -> None:
+        self.target = target
+        self._pgconn = pgconn
+
+    @classmethod
+    async def open(
+        cls,
+        target: Target,
+        database: str,
+        token: str = '',
+    ) -> 'CallerConnection':
+        """Open a connection, carrying a session's token.
+
+        Raises:
+            EndpointError: The proxy could not be reached or refused.
+        """
+        options = '-c catkincrank.session={0}'.format(token) if token else ''
+        conninfo = make_conninfo(
+            hostaddr=target.host,
+            port=target.port,
+            user=target.user,
+            password=target.password,
+            dbname=database,
+            options=options,
+            sslmode='disable',
+            gssencmode='disable',
+        )
+        try:
+            with anyio.fail_after(_CONNECT_LIMIT_S):
+                pgconn = await libpq.open_connection(conninfo)
+        except TimeoutError:
+            raise EndpointError('no answer', was_sent=False) from None
+        return cls(pgconn, target)
+
+    async def execute(self, sql: str, *params: str) -> Answer:
+        """Run one statement."""
+        libpq.check_connection(self._pgconn)
+        libpq.send_statement(self._pgconn, sql, params)
+        results = await libpq.fetch_results(self._pgconn)
+        return libpq.read_answer(self._pgconn, results[-1])
+
+    async def show(self, name: str) -> str:
+        """Return a session option's text."""
+        answer = await self.execute('SHOW {0}'.format(name))
+        return answer.rows[0][0] or ''
+
+    def is_usable(self) -> bool:
+        """Return whether the proxy has left the connection open."""
+        try:
+            libpq.check_connection(self._pgconn)
+        except EndpointError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close at once."""
+        self._pgconn.finish()
+
+
+def read_verdict(error: StatementError) -> Verdict:
+    """Return the verdict that an error carries."""
+    return read_detail(error.fields.get(_DETAIL, ''))
+
+
+def read_detail(detail: str) -> Verdict:
+    """Return the verdict in the DETAIL of an error.
+
+    A proxy gives one with each error. An endpoint gives none: a statement
+    that it refuses leaves no effect.
+    """
+    text = detail.partition(_VERDICT_PREFIX)[2].splitlines()
+    return Verdict(text[0].strip()) if text else Verdict.NOT_RUN
--- /dev/null
+++ b/catkincrank/load/outcome.py
@@ -0,0 +1,72 @@
+"""What came of the requests of a run."""
+
+from dataclasses import dataclass, field
+from typing import final
+
+from catkincrank.load.schedule import Arrival, Operation
+from catkincrank.verdict import Verdict
+
+__all__ = ('Outcome', 'Tally')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What came of one arrival.
+
+    Attributes:
+        arrival: The arrival.
+        service: Number of the service.
+        finished_s: When its final answer came, counted from the start.
+        verdict: The final verdict.
+        attempts: Submissions that it took.
+        error: Final error in one line; empty on success.
+    """
+
+    arrival: Arrival
+    service: int
+    finished_s: float
+    verdict: Verdict
+    attempts: int
+    error: str = ''
+
+    @property
+    def latency_s(self) -> float:
+        """Time from the arrival, not from the submission."""
+        return self.finished_s - self.arrival.at_s
+
+    @property
+    def is_write(self) -> bool:
+        """Whether it writes."""
+        return self.arrival.operation is not Operation.READ
+
+
+@final
+@dataclass(slots=True)
+class Tally:
+    """Counts over a run.
+
+    Attributes:
+        outcomes: What came of each arrival, in the order of the answers.
+        statements: Statements that got a whole answer.
+        refused_not_run: Answers with the verdict "not run".
+        may_have_run: Answers with the verdict "may have run".
+        connects: Connections opened.
+        failed_connects: Connections that could not be opened.
+        peak_queue: Most requests that were under way at once.
+        queue: Requests under way over time: time and number.
+    """
+
+    outcomes: list[Outcome] = field(default_factory=list)
+    statements: int = 0
+    refused_not_run: int = 0
+    may_have_run: int = 0
+    connects: int = 0
+    failed_connects: int = 0
+    peak_queue: int = 0
+    queue: list[tuple[float, int]] = field(default_factory=list)
+
+    def count_verdict(self, verdict: Verdict) -> None:
+        """Count the answer to one submission."""
+        self.refused_not_run += int(verdict is Verdict.NOT_RUN)
+        self.may_have_run += int(verdict is Verdict.MAY_HAVE_RUN)
--- /dev/null
+++ b/catkincrank/load/summary.py
@@ -0,0 +1,146 @@
+"""Figures of a run, worked out from its records."""
+
+import math
+from collections.abc import Sequence
+from typing import final
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from catkincrank.load.outcome import Outcome, Tally
+from catkincrank.verdict import Verdict
+
+__all__ = (
+    'Latency',
+    'LoadFigures',
+    'find_gap',
+    'measure_latency',
+    'summarize',
+)
+
+_LOWEST_US = 1
+_HIGHEST_US = 3_600_000_000
+_DIGITS = 3
+_US_PER_S = 1_000_000
+_MEDIAN = 50
+_HIGH = 99
+_SHOWN_DIGITS = 4
+
+
+@final
+class Latency(msgspec.Struct, frozen=True):
+    """Latencies of one kind of request, in seconds from its arrival.
+
+    Attributes:
+        count: Requests.
+        p50: Median.
+        p99: 99th percentile.
+        highest: The longest.
+    """
+
+    count: int = 0
+    p50: float = 0
+    p99: float = 0
+    highest: float = 0
+
+
+@final
+class LoadFigures(msgspec.Struct, frozen=True):
+    """Figures of a load.
+
+    Attributes:
+        seconds: Length of the run.
+        arrivals: Requests that arrived.
+        statements: Statements that got a whole answer.
+        writes_acknowledged: Writes that callers know to have run.
+        unserved: Requests without success by their deadline.
+        refused_not_run: Answers with the verdict "not run".
+        may_have_run: Answers with the verdict "may have run".
+        reads: Latencies of reads.
+        writes: Latencies of writes.
+        peak_queue: Most requests that waited in their sessions at once.
+        connects: Connections that callers opened.
+    """
+
+    seconds: float
+    arrivals: int
+    statements: int
+    writes_acknowledged: int
+    unserved: int
+    refused_not_run: int
+    may_have_run: int
+    reads: Latency
+    writes: Latency
+    peak_queue: int
+    connects: int
+
+
+def summarize(tally: Tally, seconds: float) -> LoadFigures:
+    """Return the figures of a run."""
+    outcomes = tally.outcomes
+    served = [one for one in outcomes if one.verdict is Verdict.RAN]
+    writes = [one for one in served if one.is_write]
+    reads = [one for one in served if not one.is_write]
+    return LoadFigures(
+        round(seconds, _SHOWN_DIGITS),
+        len(outcomes),
+        tally.statements,
+        len(writes),
+        len(outcomes) - len(served),
+        tally.refused_not_run,
+        tally.may_have_run,
+        measure_latency([one.latency_s for one in reads]),
+        measure_latency([one.latency_s for one in writes]),
+        tally.peak_queue,
+        tally.connects,
+    )
+
+
+def measure_latency(seconds: Sequence[float]) -> Latency:
+    """Return the percentiles of some latencies."""
+    if not seconds:
+        return Latency()
+    histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
+    for each in seconds:
+        histogram.record_value(max(_LOWEST_US, int(each * _US_PER_S)))
+    shown = [
+        histogram.get_value_at_percentile(percentile) / _US_PER_S
+        for percentile in (_MEDIAN, _HIGH)
+    ]
+    return Latency(len(seconds), *shown, max(seconds))
+
+
+def find_gap(
+    outcomes: Sequence[Outcome],
+    service: int,
+    since_s: float,
+    until_s: float,
+) -> float:
+    """Return a service's longest time without a served write.
+
+    Args:
+        outcomes: What came of each arrival.
+        service: Number of the service.
+        since_s: Start of the window; the last success before it counts.
+        until_s: End of the window; the first success after it counts.
+
+    Returns:
+        The gap in seconds; infinite when no write was served again.
+    """
+    times = sorted(
+        one.finished_s
+        for one in outcomes
+        if one.service == service
+        and one.is_write
+        and one.verdict is Verdict.RAN
+    )
+    before = [at for at in times if at <= since_s]
+    after = [at for at in times if at >= until_s]
+    inside = [at for at in times if since_s < at < until_s]
+    ends = [*before[-1:], *inside, *after[:1]]
+    if not before and not inside:
+        return math.inf
+    if not after and not inside:
+        return math.inf
+    pairs = zip(ends, ends[1:], strict=False)
+    return max((later - earlier for earlier, later in pairs), default=math.inf)
--- /dev/null
+++ b/catkincrank/load/trial.py
@@ -0,0 +1,228 @@
+"""Runs a deployment under load and faults, and judges the promises."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import final
+
+import anyio
+import msgspec
+
+from catkincrank.endpoint import StatementError
+from catkincrank.errors import CatkincrankError, EndpointError
+from catkincrank.invariants import Violation
+from catkincrank.load import workload
+from catkincrank.load.connection import CallerConnection
+from catkincrank.load.judgement import (
+    count_violations,
+    judge,
+    record_effects,
+)
+from catkincrank.load.observation import GroupObserver, ReadCounts
+from catkincrank.load.outcome import Tally
+from catkincrank.load.profile import FaultStep, Profile
+from catkincrank.load.runner import LoadRun, run_load
+from catkincrank.load.summary import LoadFigures, find_gap, summarize
+from catkincrank.records import RecordedHistory
+from catkincrank.standins.deployment import Deployment
+from catkincrank.standins.faults import FaultScript
+
+__all__ = ('Trial', 'TrialResult', 'run_trial')
+
+_STARTUP_LIMIT_S = 15.0
+_RETRY_DELAY_S = 0.1
+_GAP_WINDOW_S = 14.0
+_PROGRESS_INTERVAL_S = 1.0
+_SETTLE_S = 0.5
+_STRIKES = frozenset(
+    ('kill_primary', 'freeze_primary', 'partition_primary'),
+)
+
+
+@final
+class TrialResult(msgspec.Struct, frozen=True):
+    """Result of a trial.
+
+    Attributes:
+        deployment: Name of the profile.
+        seed: Seed of the run.
+        seconds: Length of the load.
+        statements: Statements that got a whole answer.
+        writes_acknowledged: Writes that callers know to have run.
+        replica_read_share: Part of the callers' reads that replicas served.
+        failover_gap_s: Gap in served writes around each lost primary.
+        invariants_broken: Violations of each promise.
+        refused_not_run: Answers with the verdict "not run".
+        may_have_run: Answers with the verdict "may have run".
+        load: Further figures of the load.
+    """
+
+    deployment: str
+    seed: int
+    seconds: float
+    statements: int
+    writes_acknowledged: int
+    replica_read_share: float
+    failover_gap_s: list[float]
+    invariants_broken: dict[str, int]
+    refused_not_run: int
+    may_have_run: int
+    load: LoadFigures
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether every promise held."""
+        return not any(self.invariants_broken.values())
+
+
+@final
+@dataclass(slots=True)
+class Trial:
+    """A trial and what it gathers.
+
+    Attributes:
+        name: Name of the profile.
+        profile: What to run.
+        seed: Seed of the run.
+        report: Takes lines of progress.
+        history: Records of the run.
+        tally: Counts of the run.
+        reads: Callers' reads by where they ran.
+        steps: Fault steps and when they were taken, from the start.
+        violations: Broken promises.
+    """
+
+    name: str
+    profile: Profile
+    seed: int = 1
+    report: Callable[[str], None] = print
+    history: RecordedHistory = field(default_factory=RecordedHistory)
+    tally: Tally = field(default_factory=Tally)
+    reads: ReadCounts = field(default_factory=ReadCounts)
+    steps: list[tuple[float, FaultStep]] = field(default_factory=list)
+    violations: dict[str, list[Violation]] = field(default_factory=dict)
+
+
+async def run_trial(trial: Trial) -> TrialResult:
+    """Run a trial to its result."""
+
+    def observe(group: str) -> GroupObserver:  # noqa: WPS430
+        return GroupObserver(group, trial.history, trial.reads)
+
+    trial.report('starting {0}'.format(trial.name))
+    async with Deployment(trial.profile, observe) as deployment:
+        await create_tables(deployment)
+        trial.report('tables are there, load begins')
+        script = FaultScript(deployment, trial.history)
+        seconds = await _run_load(trial, deployment, script)
+        await anyio.sleep(_SETTLE_S)
+        record_effects(trial.history, deployment.groups.values())
+    trial.violations = judge(trial.history)
+    return _make_result(trial, seconds)
+
+
+async def create_tables(deployment: Deployment) -> None:
+    """Create the load's tables in every group, through a proxy.
+
+    Raises:
+        CatkincrankError: The deployment does not serve in time.
+    """
+    with anyio.move_on_after(_STARTUP_LIMIT_S):
+        for group in deployment.groups:
+            for statement in workload.SCHEMA:
+                await _insist(deployment, group, statement)  # noqa: WPS476
+        return
+    raise CatkincrankError('the deployment does not serve')
+
+
+async def _insist(deployment: Deployment, group: str, sql: str) -> None:
+    while True:
+        try:
+            connection = await CallerConnection.open(
+                deployment.targets()[0],
+                group,
+            )
+            await connection.execute(sql)
+        except (EndpointError, StatementError):
+            await anyio.sleep(_RETRY_DELAY_S)
+            continue
+        connection.close()
+        return
+
+
+async def _run_load(
+    trial: Trial,
+    deployment: Deployment,
+    script: FaultScript,
+) -> float:
+    run = LoadRun(
+        trial.profile.workload,
+        trial.profile.groups(),
+        deployment.targets,
+        trial.history,
+        trial.seed,
+    )
+    started_at = anyio.current_time()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(script.run, started_at)
+        tasks.start_soon(_show_progress, trial, script, started_at)
+        await run_load(run, trial.tally)
+        tasks.cancel_scope.cancel()
+    trial.steps = [(at - started_at, step) for at, step in script.log]
+    return anyio.current_time() - started_at
+
+
+async def _show_progress(
+    trial: Trial,
+    script: FaultScript,
+    started_at: float,
+) -> None:
+    shown = 0
+    while True:
+        await anyio.sleep(_PROGRESS_INTERVAL_S)
+        for _, step in script.log[shown:]:
+            name = step.service or step.proxy
+            trial.report('{0} {1}'.format(step.action, name))
+        shown = len(script.log)
+        trial.report(
+            '{0:3.0f} s  {1} answers, {2} not run, {3} may have run'.format(
+                anyio.current_time() - started_at,
+                len(trial.tally.outcomes),
+                trial.tally.refused_not_run,
+                trial.tally.may_have_run,
+            ),
+        )
+
+
+def _make_result(trial: Trial, seconds: float) -> TrialResult:
+    figures = summarize(trial.tally, seconds)
+    return TrialResult(
+        trial.name,
+        trial.seed,
+        figures.seconds,
+        figures.statements,
+        figures.writes_acknowledged,
+        round(trial.reads.replica_share, 4),
+        list_gaps(trial),
+        count_violations(trial.violations),
+        figures.refused_not_run,
+        figures.may_have_run,
+        figures,
+    )
+
+
+def list_gaps(trial: Trial) -> list[float]:
+    """Return the gap that each lost primary caused."""
+    services = list(trial.profile.services)
+    return [
+        round(
+            find_gap(
+                trial.tally.outcomes,
+                services.index(step.service),
+                at_s,
+                at_s + _GAP_WINDOW_S,
+            ),
+            3,
+        )
+        for at_s, step in trial.steps
+        if step.action in _STRIKES
+    ]
--- a/catkincrank/standins/execution.py
+++ b/catkincrank/standins/execution.py
@@ -7,10 +7,12 @@
 from pg_mimic import Statement
 from pg_mimic.types import TEXT
 
+from catkincrank.instance import Role
 from catkincrank.registry import Registry
 from catkincrank.standins.dialect import Kind, Translation
 from catkincrank.standins.instance import StandinInstance
 from catkincrank.standins.log import Change
+from catkincrank.standins.observer import StatementSeen
 from catkincrank.standins.portal import (
     Columns,
     Row,
@@ -73,7 +75,9 @@
                 datetime.now(UTC).isoformat(),
                 declaration,
             )
-            return await self._run(change, translation)
+            rows = await self._run(change, translation)
+            self._report(sql, params)
+            return rows
 
         return StandinStatement(sql, run, translation.columns, oids)
 
@@ -82,10 +86,23 @@
             await self._instance.wait_running()
             words = sql.lower().rstrip('; \n').split()
             await _commands.find(keyword)(self, words)
+            self._report(sql, params)
             return []
 
         return run
 
+    def _report(self, sql: str, params: list[str | None]) -> None:
+        instance = self._instance
+        seen = StatementSeen(
+            instance.name,
+            instance.role is Role.PRIMARY,
+            '{0}/{1}'.format(instance.incarnation, self.connection.pid),
+            sql,
+            params,
+            self.connection.tx_status != _IDLE,
+        )
+        instance.options.observer.on_statement(seen)
+
     async def _run(
         self,
         change: Change,
--- a/catkincrank/standins/instance.py
+++ b/catkincrank/standins/instance.py
@@ -4,7 +4,7 @@
 one can't do by SQL alone is named in docs/design-endpoints.md.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import final
 
 import anyio
@@ -14,6 +14,7 @@
 from catkincrank.instance import Role
 from catkincrank.standins.database import Database
 from catkincrank.standins.log import Change, Log, Record
+from catkincrank.standins.observer import InstanceObserver
 
 __all__ = ('InstanceOptions', 'StandinInstance')
 
@@ -33,6 +34,7 @@
         statement_s: Time that it works on a statement.
         user: Login that it takes.
         password: The login's password; empty to ask for none.
+        observer: Gets what the instance reports.
     """
 
     slots: int = 3
@@ -41,6 +43,7 @@
     statement_s: float = 0
     user: str = 'catkincrank'
     password: str = ''
+    observer: InstanceObserver = field(default_factory=InstanceObserver)
 
     def __repr__(self) -> str:
         return 'InstanceOptions(slots={0}, connections={1})'.format(
@@ -181,6 +184,11 @@
         promised = upstream.ballot.term if upstream else 0
         self.log.begin_term(max(self.log.history.term + 1, promised))
         self.role = Role.PRIMARY
+        self.options.observer.on_term(
+            self.name,
+            self.log.history.term,
+            self.log.end,
+        )
         self.notify()
 
     def rebuild(self, source: 'StandinInstance') -> None:
