Count the errors that submissions meet

Cause: a run with failures did not say which. Change: the tally keeps errors by text and the result shows the most frequent. Conclusion: failures can be traced from the result alone.

--- a/catkincrank/load/caller.py
+++ b/catkincrank/load/caller.py
@@ -141,7 +141,10 @@
             self._recorder.note_cut(submission)
             self._lose_session()
         if submission.is_recorded:
-            self._context.tally.count_verdict(submission.verdict)
+            self._context.tally.count_answer(
+                submission.verdict,
+                submission.error,
+            )
 
     async def _submit(
         self,
--- a/catkincrank/load/outcome.py
+++ b/catkincrank/load/outcome.py
@@ -1,5 +1,6 @@
 """What came of the requests of a run."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import final
 
@@ -54,7 +55,8 @@
         connects: Connections opened.
         failed_connects: Connections that could not be opened.
         peak_queue: Most requests that were under way at once.
-        queue: Requests under way over time: time and number.
+        queue: Requests that waited in their sessions: time and number.
+        errors: Submissions without success, by error.
     """
 
     outcomes: list[Outcome] = field(default_factory=list)
@@ -65,8 +67,11 @@
     failed_connects: int = 0
     peak_queue: int = 0
     queue: list[tuple[float, int]] = field(default_factory=list)
+    errors: Counter[str] = field(default_factory=Counter)
 
-    def count_verdict(self, verdict: Verdict) -> None:
+    def count_answer(self, verdict: Verdict, error: str) -> None:
         """Count the answer to one submission."""
+        if error:
+            self.errors['{0}: {1}'.format(verdict.value, error)] += 1
         self.refused_not_run += int(verdict is Verdict.NOT_RUN)
         self.may_have_run += int(verdict is Verdict.MAY_HAVE_RUN)
--- a/catkincrank/load/trial.py
+++ b/catkincrank/load/trial.py
@@ -33,6 +33,7 @@
 _GAP_WINDOW_S = 14.0
 _PROGRESS_INTERVAL_S = 1.0
 _SETTLE_S = 0.5
+_SHOWN_ERRORS = 12
 _STRIKES = frozenset(
     ('kill_primary', 'freeze_primary', 'partition_primary'),
 )
@@ -51,6 +52,7 @@
         replica_read_share: Part of the callers' reads that replicas served.
         failover_gap_s: Gap in served writes around each lost primary.
         invariants_broken: Violations of each promise.
+        errors: Most frequent errors of submissions, with counts.
         refused_not_run: Answers with the verdict "not run".
         may_have_run: Answers with the verdict "may have run".
         load: Further figures of the load.
@@ -64,6 +66,7 @@
     replica_read_share: float
     failover_gap_s: list[float]
     invariants_broken: dict[str, int]
+    errors: dict[str, int]
     refused_not_run: int
     may_have_run: int
     load: LoadFigures
@@ -204,6 +207,7 @@
         round(trial.reads.replica_share, 4),
         list_gaps(trial),
         count_violations(trial.violations),
+        dict(trial.tally.errors.most_common(_SHOWN_ERRORS)),
         figures.refused_not_run,
         figures.may_have_run,
         figures,
