Take the first answer to a submission as its only one

Cause: a connection that broke after an answer, while the key was being reset, was recorded as a second answer to the request. Change: the recorder and the submission keep the first answer. Conclusion: the checker of answers sees what callers see.

--- a/catkincrank/load/recorder.py
+++ b/catkincrank/load/recorder.py
@@ -63,8 +63,9 @@
         at: float | None = None,
     ) -> None:
         """Record a whole answer."""
-        if not submission.is_recorded:
+        if submission.is_answered or not submission.is_recorded:
             return
+        submission.is_answered = True
         self._history.add(
             RequestAnswered(
                 anyio.current_time() if at is None else at,
@@ -78,8 +79,9 @@
 
     def note_cut(self, submission: Submission) -> None:
         """Record that the connection ended in place of an answer."""
-        if not submission.is_recorded:
+        if submission.is_answered or not submission.is_recorded:
             return
+        submission.is_answered = True
         self._history.add(
             RequestAnswered(
                 anyio.current_time(),
--- a/catkincrank/load/submission.py
+++ b/catkincrank/load/submission.py
@@ -27,6 +27,7 @@
         self.verdict = Verdict.NOT_RUN
         self.error = 'no time left'
         self.is_recorded = False
+        self.is_answered = False
         self.is_committing = False
 
     @property
@@ -49,6 +50,7 @@
         if is_read or self.verdict is Verdict.NOT_RUN:
             self.tag = workload.name_request(take_number())
         self.is_recorded = False
+        self.is_answered = False
         self.is_committing = False
 
     def judge_cut(self, *, was_sent: bool) -> Verdict:
@@ -60,6 +62,8 @@
         return Verdict.MAY_HAVE_RUN
 
     def settle(self, verdict: Verdict, error: str = '') -> None:
-        """Note what came of the attempt."""
+        """Note what came of the attempt; the first answer counts."""
+        if self.is_answered:
+            return
         self.verdict = verdict
         self.error = error
