--- /dev/null
+++ b/catkincrank/optiontext.py
@@ -0,0 +1,67 @@
+"""Reads session options out of SET statements and the startup packet."""
+
+import re
+from dataclasses import dataclass
+from typing import final
+
+__all__ = ('OptionWords', 'parse_set', 'parse_startup_options')
+
+_PREFIX = 'catkincrank.'
+_ESCAPED = re.compile(r'\\(.)')
+_SET = re.compile(
+    r'\s*set\s+(?:(session|local)\s+)?([\w.]+)\s*(?:\bto\b|=)\s*(.*?)\s*;?\s*\Z',
+    re.IGNORECASE | re.DOTALL,
+)
+_STARTUP = re.compile(r'(?:-c\s*|--)([\w.-]+)=((?:\\.|[^\s\\])*)')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class OptionWords:
+    """The words of a ``SET`` statement.
+
+    Attributes:
+        name: Name of the option in lower case.
+        text: Its value, unquoted.
+        is_local: Whether it is for the current transaction.
+    """
+
+    name: str
+    text: str
+    is_local: bool = False
+
+    @property
+    def is_own(self) -> bool:
+        """Whether the option is one of this module's."""
+        return self.name.startswith(_PREFIX)
+
+
+def parse_set(sql: str) -> OptionWords | None:
+    """Return the words of a ``SET`` statement; ``None`` for other forms."""
+    found = _SET.match(sql)
+    if found is None:
+        return None
+    scope, name, text = found.groups()
+    return OptionWords(
+        name.lower(),
+        _unquote(text),
+        is_local=(scope or '').lower() == 'local',
+    )
+
+
+def parse_startup_options(text: str) -> list[OptionWords]:
+    """Return what the startup packet's ``options`` sets."""
+    return [
+        OptionWords(
+            found.group(1).lower().replace('-', '_'),
+            _ESCAPED.sub(r'\1', found.group(2)),
+        )
+        for found in _STARTUP.finditer(text)
+    ]
+
+
+def _unquote(text: str) -> str:
+    for quote in ('"', "'"):
+        if len(text) > 1 and text[0] == quote == text[-1]:
+            return text[1:-1].replace(quote * 2, quote)
+    return text
