--- /dev/null
+++ b/catkincrank/filters/__init__.py
@@ -0,0 +1,1 @@
+"""Package of filters."""
--- /dev/null
+++ b/catkincrank/filters/acknowledgement.py
@@ -0,0 +1,30 @@
+"""Filter that gives each write its service's acknowledgement policy."""
+
+from collections.abc import Iterable, Iterator
+from functools import cache
+from typing import final
+
+from catkincrank.acknowledgement import Acknowledgement, acknowledgements
+from catkincrank.filter import Filter, filters
+from catkincrank.request import Access, Request
+
+__all__ = ('AcknowledgementFilter',)
+
+
+@final
+@filters.register('acknowledgement')
+class AcknowledgementFilter(Filter):
+    """Looks the policy up by the name in the service's settings."""
+
+    def filter(self, requests: Iterable[Request]) -> Iterator[Request]:
+        """Set ``acknowledgement``."""
+        for request in requests:
+            if request.access is Access.WRITE:
+                name = request.service.acknowledgement
+                request.acknowledgement = _make_policy(name)
+            yield request
+
+
+@cache
+def _make_policy(name: str) -> Acknowledgement:
+    return acknowledgements.find(name)()
--- /dev/null
+++ b/catkincrank/pipeline.py
@@ -0,0 +1,55 @@
+"""Pipelines: filters in the order that requests pass them."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from typing import final
+
+import catkincrank.acknowledgements.replica  # noqa: F401
+import catkincrank.filters.access
+import catkincrank.filters.acknowledgement
+import catkincrank.filters.deadline
+import catkincrank.filters.readrule
+import catkincrank.filters.requestkey
+import catkincrank.filters.retry  # noqa: F401
+from catkincrank.filter import Filter, filters
+from catkincrank.request import Request
+
+__all__ = ('DEFAULT_STAGES', 'Pipeline')
+
+DEFAULT_STAGES = (
+    'deadline',
+    'access',
+    'read-rule',
+    'request-key',
+    'acknowledgement',
+    'retry',
+)
+
+
+@final
+class Pipeline:
+    """Passes requests through filters.
+
+    Args:
+        stages: The filters, first one first.
+    """
+
+    __slots__ = ('_stages',)
+
+    def __init__(self, stages: Sequence[Filter]) -> None:
+        self._stages = tuple(stages)
+
+    @classmethod
+    def from_names(cls, names: Sequence[str] = DEFAULT_STAGES) -> 'Pipeline':
+        """Return a pipeline of registered filters with default options."""
+        return cls([filters.find(name)() for name in names])
+
+    def run(self, requests: Iterable[Request]) -> Iterator[Request]:
+        """Yield ``requests`` as the last filter leaves them."""
+        stream = iter(requests)
+        for stage in self._stages:
+            stream = stage.filter(stream)
+        return stream
+
+    def prepare(self, request: Request) -> Request:
+        """Pass a single request."""
+        return next(self.run((request,)))
--- /dev/null
+++ b/catkincrank/reading.py
@@ -0,0 +1,205 @@
+"""Runs reads outside transactions, on any instance that may serve them."""
+
+from typing import final
+
+import anyio
+
+from catkincrank.endpoint import Answer, StatementError
+from catkincrank.errors import EndpointError
+from catkincrank.feed import Feed, FeedWaiter
+from catkincrank.history import Containment
+from catkincrank.leases import Lease, Leases
+from catkincrank.request import Progress, Request
+from catkincrank.retrying import Retries
+from catkincrank.routing import (
+    Lost,
+    ReadRequest,
+    Route,
+    admits_read,
+    choose_read,
+)
+from catkincrank.session import Session
+from catkincrank.verdict import Reason, RequestError, Verdict
+
+__all__ = ('Reader',)
+
+_AHEAD_LIMIT_S = 2
+_AHEAD_HINT_S = 1
+_UNAVAILABLE_STATES = frozenset(('40001', '57P01', '57P02', '57P03', '72000'))
+
+
+@final
+class Reader:
+    """Runs reads.
+
+    Args:
+        feed: Evidence about the groups.
+        waiter: Lets tasks wait for news in ``feed``.
+        leases: Connections.
+        retries: Retry budgets.
+        zone: Availability zone of the proxy.
+    """
+
+    __slots__ = ('_feed', '_leases', '_retries', '_waiter', '_zone')
+
+    def __init__(
+        self,
+        feed: Feed,
+        waiter: FeedWaiter,
+        leases: Leases,
+        retries: Retries,
+        zone: str,
+    ) -> None:
+        self._feed = feed
+        self._waiter = waiter
+        self._leases = leases
+        self._retries = retries
+        self._zone = zone
+
+    async def run(self, session: Session, request: Request) -> Answer:
+        """Run a read; try another instance when one fails it."""
+        excluded: set[str] = set()
+        attempt = 0
+        while True:
+            lease = await self.lease(session, request, excluded)
+            request.progress = Progress.RUNNING
+            try:
+                return await self._run_once(session, request, lease)
+            except EndpointError as error:
+                failure = _explain(error)
+            except StatementError as error:
+                if error.sqlstate not in _UNAVAILABLE_STATES:
+                    raise
+                failure = _explain(error)
+            excluded.add(lease.endpoint)
+            attempt += 1
+            await self._retries.pause(request, attempt, failure)
+
+    async def lease(
+        self,
+        session: Session,
+        request: Request,
+        excluded: set[str],
+    ) -> Lease:
+        """Return a connection that may serve the read.
+
+        Args:
+            session: The caller's session.
+            request: The read.
+            excluded: Endpoints that have failed it; more are added.
+
+        Raises:
+            RequestError: The session's mark is lost or never came.
+        """
+        while True:
+            revision = self._feed.revision(request.group)
+            wanted = self._describe(session, request, excluded)
+            loads = self._leases.loads(request.group, request.service)
+            now = anyio.current_time()
+            choice = choose_read(wanted, self._feed, loads, now)
+            if isinstance(choice, Lost):
+                raise _explain_loss(choice)
+            if isinstance(choice, Route):
+                lease = await self._try_lease(wanted, request, choice.endpoint)
+                if lease is not None:
+                    return lease
+                excluded.add(choice.endpoint)
+            else:
+                excluded.clear()
+                await self._await_news(wanted, revision)
+
+    async def _run_once(
+        self,
+        session: Session,
+        request: Request,
+        lease: Lease,
+    ) -> Answer:
+        leases = self._leases
+        try:
+            if session.settings:
+                await leases.apply(lease, session.settings)
+            answer = await leases.execute(
+                lease,
+                request.statement.text,
+                request.parameters,
+            )
+        except StatementError:
+            await leases.release(lease)
+            raise
+        await leases.release(lease)
+        return answer
+
+    async def _try_lease(
+        self,
+        wanted: ReadRequest,
+        request: Request,
+        endpoint: str,
+    ) -> Lease | None:
+        lease = self._leases.take_idle(request, endpoint)
+        if lease is None:
+            try:
+                lease = await self._leases.acquire(request, endpoint)
+            except EndpointError:
+                return None
+        incarnation = lease.connection.incarnation
+        if admits_read(wanted, self._feed, endpoint, incarnation):
+            return lease
+        await self._leases.discard(lease)
+        return None
+
+    async def _await_news(self, wanted: ReadRequest, revision: int) -> None:
+        if not self._is_ahead(wanted):
+            await self._waiter.changed(wanted.group, revision)
+            return
+        give_up_at = wanted.arrived_at + _AHEAD_LIMIT_S
+        with anyio.CancelScope(deadline=give_up_at) as scope:
+            await self._waiter.changed(wanted.group, revision)
+        if scope.cancelled_caught:
+            raise RequestError(
+                Verdict.NOT_RUN,
+                Reason.TOKEN_AHEAD,
+                'the session token is ahead of all that is known here',
+                retry_after_s=_AHEAD_HINT_S,
+            )
+
+    def _is_ahead(self, wanted: ReadRequest) -> bool:
+        history = self._feed.history(wanted.group)
+        if wanted.mark is None or history is None:
+            return False
+        return history.locate(wanted.mark) is Containment.AHEAD
+
+    def _describe(
+        self,
+        session: Session,
+        request: Request,
+        excluded: set[str],
+    ) -> ReadRequest:
+        return ReadRequest(
+            request.group,
+            session.mark,
+            request.max_staleness_s,
+            self._zone,
+            request.arrived_at,
+            frozenset(excluded),
+        )
+
+
+def _explain(error: Exception) -> RequestError:
+    return RequestError(
+        Verdict.NOT_RUN,
+        Reason.CONNECTION_LOST,
+        'the endpoint failed the read: {0}'.format(error),
+        retry_after_s=0,
+    )
+
+
+def _explain_loss(lost: Lost) -> RequestError:
+    return RequestError(
+        Verdict.NOT_RUN,
+        Reason.HISTORY_LOST,
+        'what this session saw at term {0}, position {1} did not survive a '
+        'change of primary; begin a new session'.format(
+            lost.mark.term,
+            lost.mark.position,
+        ),
+    )
--- /dev/null
+++ b/catkincrank/requestkeys.py
@@ -0,0 +1,197 @@
+"""At most once: a request key is a row written together with the effect.
+
+The row and the effect commit or vanish together, on whichever instance and in
+whichever term, so the row answers for the effect in every surviving history.
+"""
+
+from dataclasses import dataclass
+from typing import final
+
+import msgspec
+
+from catkincrank.endpoint import Answer, Column, StatementError
+from catkincrank.endpoint import TransactionStatus as Status
+from catkincrank.errors import CatkincrankError
+from catkincrank.leases import Lease, Leases
+from catkincrank.verdict import Reason, RequestError, Verdict
+
+__all__ = ('CREATE_TABLE', 'KeyClaim', 'MissingTableError', 'RequestKeys')
+
+CREATE_TABLE = (
+    'CREATE TABLE IF NOT EXISTS catkincrank_requests ('
+    'team text NOT NULL, '
+    'key text NOT NULL, '
+    'fingerprint text NOT NULL, '
+    'outcome text, '
+    'created_at bigint NOT NULL, '
+    'PRIMARY KEY (team, key))'
+)
+_CLAIM = (
+    'INSERT INTO catkincrank_requests (team, key, fingerprint, created_at) '
+    'VALUES ($1, $2, $3, $4) ON CONFLICT (team, key) DO NOTHING'
+)
+_FIND = (
+    'SELECT fingerprint, outcome FROM catkincrank_requests '
+    'WHERE team = $1 AND key = $2'
+)
+_RECORD = (
+    'UPDATE catkincrank_requests SET outcome = $3 WHERE team = $1 AND key = $2'
+)
+_PRUNE = (
+    'DELETE FROM catkincrank_requests WHERE (team, key) IN ('
+    'SELECT team, key FROM catkincrank_requests WHERE created_at < $1 '
+    'ORDER BY created_at LIMIT {0})'
+)
+_UNKNOWN_OUTCOME = '{"command": "OK"}'
+_CLAIMED = 'INSERT 0 1'
+_MAX_OUTCOME_BYTES = 65536
+_UNDEFINED_TABLE = '42P01'
+_PRUNE_BATCH_ROWS = 200
+
+
+@final
+class Outcome(msgspec.Struct, frozen=True):
+    """What the first run of a request answered, as it is stored.
+
+    Attributes:
+        command: Command tag.
+        columns: Names and type OIDs; ``None`` when no rows came.
+        rows: The rows.
+        has_rows: Whether the rows were small enough to be kept.
+    """
+
+    command: str
+    columns: tuple[tuple[str, int], ...] | None = None
+    rows: tuple[tuple[str | None, ...], ...] = ()
+    has_rows: bool = True
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class KeyClaim:
+    """A request key and what it stands for.
+
+    Attributes:
+        team: Team that the key belongs to.
+        key: The key.
+        fingerprint: Digest of the request.
+        created_at: Wall-clock time in seconds since 1970.
+    """
+
+    team: str
+    key: str
+    fingerprint: str
+    created_at: int
+
+
+@final
+class MissingTableError(CatkincrankError):
+    """The service's database has no table of request keys."""
+
+
+@final
+class RequestKeys:
+    """Reads and writes rows of request keys.
+
+    Args:
+        leases: Runs statements on leased connections.
+    """
+
+    __slots__ = ('_leases',)
+
+    def __init__(self, leases: Leases) -> None:
+        self._leases = leases
+
+    async def claim(self, lease: Lease, claim: KeyClaim) -> Answer | None:
+        """Claim a key in the open transaction of ``lease``.
+
+        Returns:
+            ``None`` when the key is new; otherwise the first run's answer.
+
+        Raises:
+            RequestError: The key stands for another request, or the first
+                run's rows were too many to be kept.
+            MissingTableError: There is no table yet.
+        """
+        fields = (
+            claim.team,
+            claim.key,
+            claim.fingerprint,
+            str(claim.created_at),
+        )
+        try:
+            answer = await self._leases.execute(lease, _CLAIM, fields)
+        except StatementError as error:
+            if error.sqlstate == _UNDEFINED_TABLE:
+                raise MissingTableError from None
+            raise
+        if answer.command == _CLAIMED:
+            return None
+        return await self._find(lease, claim)
+
+    async def record(
+        self,
+        lease: Lease,
+        claim: KeyClaim,
+        answer: Answer,
+    ) -> None:
+        """Store the outcome in the same transaction."""
+        await self._leases.execute(
+            lease,
+            _RECORD,
+            (claim.team, claim.key, _encode_outcome(answer)),
+        )
+
+    async def create_table(self, lease: Lease) -> None:
+        """Create the table outside a transaction."""
+        await self._leases.execute(lease, CREATE_TABLE)
+
+    async def prune(self, lease: Lease, before: int) -> int:
+        """Delete a batch of rows older than ``before``; return how many."""
+        sql = _PRUNE.format(_PRUNE_BATCH_ROWS)
+        answer = await self._leases.execute(lease, sql, (str(before),))
+        return int(answer.command.rpartition(' ')[2])
+
+    async def _find(self, lease: Lease, claim: KeyClaim) -> Answer:
+        answer = await self._leases.execute(
+            lease,
+            _FIND,
+            (claim.team, claim.key),
+        )
+        fingerprint, outcome = answer.rows[0]
+        if fingerprint != claim.fingerprint:
+            raise RequestError(
+                Verdict.NOT_RUN,
+                Reason.KEY_MISMATCH,
+                'the request key {0!r} belongs to another request'.format(
+                    claim.key,
+                ),
+            )
+        return _decode_outcome(claim, outcome or _UNKNOWN_OUTCOME)
+
+
+def _encode_outcome(answer: Answer) -> str:
+    columns = None
+    if answer.columns is not None:
+        columns = tuple((one.name, one.oid) for one in answer.columns)
+    outcome = Outcome(answer.command, columns, answer.rows)
+    body = msgspec.json.encode(outcome)
+    if len(body) > _MAX_OUTCOME_BYTES:
+        outcome = Outcome(answer.command, columns, has_rows=False)
+        body = msgspec.json.encode(outcome)
+    return body.decode('utf-8')
+
+
+def _decode_outcome(claim: KeyClaim, text: str) -> Answer:
+    outcome = msgspec.json.decode(text, type=Outcome)
+    if not outcome.has_rows:
+        raise RequestError(
+            Verdict.RAN,
+            Reason.ALREADY_RAN,
+            'the request with key {0!r} ran; its rows were too many to be '
+            'kept'.format(claim.key),
+        )
+    columns = None
+    if outcome.columns is not None:
+        columns = tuple(Column(name, oid) for name, oid in outcome.columns)
+    return Answer(outcome.command, columns, outcome.rows, Status.OPEN)
--- /dev/null
+++ b/catkincrank/session.py
@@ -0,0 +1,110 @@
+"""A caller's session: what outlives its statements."""
+
+from typing import TYPE_CHECKING, final
+
+import anyio
+
+from catkincrank.endpoint import TransactionStatus
+from catkincrank.errors import OptionError
+from catkincrank.history import LogMark
+from catkincrank.sessionoptions import SessionOptions
+from catkincrank.tokens import SessionToken, encode_token
+
+if TYPE_CHECKING:
+    from catkincrank.transaction import Transaction
+
+__all__ = ('Session',)
+
+
+@final
+class Session:
+    """State of one caller's session.
+
+    Args:
+        group: Name of the group that it works on, ``team/service``.
+    """
+
+    __slots__ = (
+        '_scope',
+        'group',
+        'is_cancelled',
+        'mark',
+        'options',
+        'settings',
+        'transaction',
+    )
+
+    def __init__(self, group: str) -> None:
+        self.group = group
+        self.options = SessionOptions()
+        self.mark: LogMark | None = None
+        self.transaction: Transaction | None = None
+        self.settings: dict[str, str] = {}
+        self.is_cancelled = False
+        self._scope: anyio.CancelScope | None = None
+
+    @property
+    def status(self) -> TransactionStatus:
+        """Transaction state that the caller sees."""
+        if self.transaction is None:
+            return TransactionStatus.IDLE
+        return self.transaction.status
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a statement runs now."""
+        return self._scope is not None
+
+    def advance(self, mark: LogMark | None) -> None:
+        """Note that the session depends on ``mark``."""
+        if mark is not None and (self.mark is None or mark > self.mark):
+            self.mark = mark
+
+    def show_token(self) -> str:
+        """Return the token to carry; empty before the first write."""
+        if self.mark is None:
+            return ''
+        return encode_token(SessionToken(self.group, self.mark))
+
+    def assign(self, name: str, text: str, *, is_local: bool = False) -> None:
+        """Set one of the session's options.
+
+        Raises:
+            OptionError: The option does not take ``text``.
+        """
+        own = SessionOptions.session.name
+        before = self.options.current
+        self.options.assign(name, text, is_local=is_local)
+        token = self.options.current.session
+        if name != own or token is None:
+            return
+        if token.group != self.group:
+            self.options.current = before
+            raise OptionError(
+                own,
+                'a token of {0}'.format(token.group),
+                'a token of {0}'.format(self.group),
+            )
+        self.advance(token.mark)
+
+    def show(self, name: str) -> str:
+        """Return an option's text form."""
+        if name == SessionOptions.session.name:
+            return self.show_token()
+        return self.options.show(name)
+
+    def open_scope(self, deadline: float) -> anyio.CancelScope:
+        """Return the scope in which one statement runs."""
+        self.is_cancelled = False
+        self._scope = anyio.CancelScope(deadline=deadline)
+        return self._scope
+
+    def close_scope(self) -> None:
+        """Note that the statement ended."""
+        self._scope = None
+
+    def cancel(self) -> None:
+        """Cut off the statement that runs now, if any."""
+        if self._scope is not None:
+            self.is_cancelled = True
+            self._scope.cancel()
--- a/catkincrank/verdict.py
+++ b/catkincrank/verdict.py
@@ -36,6 +36,7 @@
     CONNECTION_LOST = '08006'
     OUTCOME_UNKNOWN = '08007'
     KEY_MISMATCH = '22000'
+    ALREADY_RAN = 'CK001'
 
 
 @final
--- /dev/null
+++ b/catkincrank/writing.py
@@ -0,0 +1,233 @@
+"""Runs writes outside transactions, each as one transaction of its own."""
+
+import time
+from typing import final
+
+from catkincrank.acknowledging import Acknowledger
+from catkincrank.endpoint import Answer, StatementError, TransactionStatus
+from catkincrank.errors import EndpointError
+from catkincrank.history import LogMark
+from catkincrank.leases import Lease, Leases
+from catkincrank.primary import PrimaryFinder
+from catkincrank.request import Progress, Request
+from catkincrank.requestkeys import KeyClaim, MissingTableError, RequestKeys
+from catkincrank.retrying import Retries
+from catkincrank.session import Session
+from catkincrank.statement import Kind
+from catkincrank.verdict import Reason, RequestError, Verdict
+
+__all__ = (
+    'Writer',
+    'judge_failure',
+    'keep_doubt',
+    'make_claim',
+    'may_resubmit',
+)
+
+_NOT_PRIMARY_STATES = frozenset(('25006', '57P01', '57P02', '57P03'))
+_BEGIN = 'BEGIN'
+_RETRIED_REASONS = frozenset((Reason.CONNECTION_LOST, Reason.NO_PRIMARY))
+_COMPLETION_UNKNOWN = '40003'
+_REFUSING_CLASSES = frozenset(('22', '23', '25', '40', '42', '55', 'P0'))
+
+
+@final
+class Writer:
+    """Runs writes.
+
+    Args:
+        leases: Connections.
+        primaries: Finds primaries.
+        acknowledger: Waits for acknowledgements.
+        retries: Retry budgets.
+    """
+
+    __slots__ = ('_acknowledger', '_keys', '_leases', '_primaries', '_retries')
+
+    def __init__(
+        self,
+        leases: Leases,
+        primaries: PrimaryFinder,
+        acknowledger: Acknowledger,
+        retries: Retries,
+    ) -> None:
+        self._leases = leases
+        self._primaries = primaries
+        self._acknowledger = acknowledger
+        self._retries = retries
+        self._keys = RequestKeys(leases)
+
+    async def run(self, session: Session, request: Request) -> Answer:
+        """Run a write and wait until it may be acknowledged.
+
+        A request with a key whose outcome is in doubt is submitted again: it
+        meets its own row or runs for the first time.
+        """
+        attempt = 0
+        while True:
+            try:
+                return await self._run_once(session, request)
+            except (EndpointError, StatementError) as error:
+                failure = judge_failure(request, error)
+            except RequestError as error:
+                failure = error
+            if not may_resubmit(request, failure):
+                raise keep_doubt(request, failure)
+            attempt += 1
+            await self._retries.pause(request, attempt, failure)
+            request.progress = Progress.QUEUED
+
+    async def create_table(self, request: Request) -> None:
+        """Create the table of request keys if the login may."""
+        lease = await self._primaries.lease(request)
+        try:
+            await self._keys.create_table(lease)
+        finally:
+            if lease.is_open:
+                await self._leases.release(lease)
+
+    async def _run_once(self, session: Session, request: Request) -> Answer:
+        lease = await self._primaries.lease(request)
+        request.progress = Progress.RUNNING
+        try:
+            answer, mark = await self._run_on(session, request, lease)
+        except MissingTableError:
+            await self._leases.roll_back(lease)
+            await self.create_table(request)
+            return await self._run_once(session, request)
+        except (StatementError, RequestError):
+            await self._leases.roll_back(lease)
+            raise
+        request.progress = Progress.COMMITTED
+        await self._leases.release(lease)
+        await self._acknowledger.confirm(request, mark)
+        session.advance(mark)
+        return answer
+
+    async def _run_on(
+        self,
+        session: Session,
+        request: Request,
+        lease: Lease,
+    ) -> tuple[Answer, LogMark | None]:
+        leases = self._leases
+        if session.settings:
+            await leases.apply(lease, session.settings)
+        if request.statement.touches_session:
+            lease.is_dirty = True
+        if request.statement.kind is Kind.STANDALONE:
+            return await self._run_standalone(request, lease)
+        await leases.execute(lease, _BEGIN)
+        answer = await self._run_effect(request, lease)
+        if answer.transaction is not TransactionStatus.OPEN:
+            request.progress = Progress.COMMITTED
+            raise _explain_lost_transaction()
+        request.progress = Progress.COMMITTING
+        return answer, await leases.commit(lease)
+
+    async def _run_effect(self, request: Request, lease: Lease) -> Answer:
+        text, parameters = request.statement.text, request.parameters
+        if not request.fingerprint:
+            return await self._leases.execute(lease, text, parameters)
+        claim = make_claim(request, request.fingerprint)
+        known = await self._keys.claim(lease, claim)
+        if known is not None:
+            return known
+        request.is_doubtful = False
+        answer = await self._leases.execute(lease, text, parameters)
+        await self._keys.record(lease, claim, answer)
+        return answer
+
+    async def _run_standalone(
+        self,
+        request: Request,
+        lease: Lease,
+    ) -> tuple[Answer, LogMark | None]:
+        request.progress = Progress.COMMITTING
+        answer = await self._leases.execute(
+            lease,
+            request.statement.text,
+            request.parameters,
+        )
+        return answer, await self._leases.commit(lease)
+
+
+def make_claim(request: Request, fingerprint: str) -> KeyClaim:
+    """Return the claim of a request's key."""
+    return KeyClaim(
+        request.team,
+        request.options.request_key,
+        fingerprint,
+        int(time.time()),
+    )
+
+
+def judge_failure(
+    request: Request,
+    error: EndpointError | StatementError,
+) -> RequestError:
+    """Return the verdict on a write that an endpoint failed.
+
+    Raises:
+        StatementError: The endpoint refused the statement for good.
+    """
+    if isinstance(error, EndpointError):
+        is_certain = not error.was_sent
+    else:
+        is_certain = _is_rolled_back(error)
+    if request.progress is Progress.COMMITTING and not is_certain:
+        return RequestError(
+            Verdict.MAY_HAVE_RUN,
+            Reason.OUTCOME_UNKNOWN,
+            'the answer to the commit was lost: {0}'.format(error),
+        )
+    if isinstance(error, EndpointError):
+        return _explain_failure(Reason.CONNECTION_LOST, error)
+    if error.sqlstate in _NOT_PRIMARY_STATES or request.is_doubtful:
+        return _explain_failure(Reason.NO_PRIMARY, error)
+    raise error
+
+
+def may_resubmit(request: Request, failure: RequestError) -> bool:
+    """Return whether a failed write may be sent again; note any doubt."""
+    if failure.verdict is Verdict.NOT_RUN:
+        return failure.reason in _RETRIED_REASONS
+    if failure.verdict is Verdict.RAN or not request.fingerprint:
+        return False
+    request.is_doubtful = True
+    return True
+
+
+def keep_doubt(request: Request, failure: RequestError) -> RequestError:
+    """Return the failure, in doubt if an earlier attempt may have run."""
+    if failure.verdict is not Verdict.NOT_RUN or not request.is_doubtful:
+        return failure
+    return RequestError(
+        Verdict.MAY_HAVE_RUN,
+        Reason.OUTCOME_UNKNOWN,
+        'an earlier attempt is in doubt; {0}'.format(failure.message),
+        retry_after_s=failure.retry_after_s,
+    )
+
+
+def _is_rolled_back(error: StatementError) -> bool:
+    if error.sqlstate == _COMPLETION_UNKNOWN:
+        return False
+    return error.sqlstate[:2] in _REFUSING_CLASSES
+
+
+def _explain_failure(reason: Reason, error: Exception) -> RequestError:
+    return RequestError(
+        Verdict.NOT_RUN,
+        reason,
+        'the endpoint failed the write: {0}'.format(error),
+        retry_after_s=0,
+    )
+
+
+def _explain_lost_transaction() -> RequestError:
+    return RequestError(
+        Verdict.MAY_HAVE_RUN,
+        Reason.OUTCOME_UNKNOWN,
+        'the statement ended the transaction that it ran in',
+    )
