--- a/catkincrank/acknowledging.py
+++ b/catkincrank/acknowledging.py
@@ -37,7 +37,7 @@
         """
         policy = request.acknowledgement
         if policy is None:
-            return
+            raise _explain('no acknowledgement policy was chosen')
         if mark is None:
             raise _explain('the endpoint named no position for the commit')
         while True:
--- /dev/null
+++ b/catkincrank/callersession.py
@@ -0,0 +1,255 @@
+"""Prepared statements and portals of callers, on top of the executor."""
+
+from collections.abc import Sequence
+from typing import Any, final
+
+from loguru import logger
+from pg_mimic.errors import PgError
+from pg_mimic.results import ResultColumn, format_code_for
+from pg_mimic.session import BaseSession
+from pg_mimic.session import Portal as BasePortal
+from pg_mimic.session import Statement as BaseStatement
+
+from catkincrank.callererrors import convert_error
+from catkincrank.endpoint import Answer, Column, StatementError
+from catkincrank.errors import OptionError
+from catkincrank.executor import Executor
+from catkincrank.session import Session
+from catkincrank.statement import Kind, Statement, classify, split
+from catkincrank.textvalues import encode_binary
+from catkincrank.verdict import RequestError, Verdict
+
+__all__ = (
+    'CallerPortal',
+    'CallerSession',
+    'PreparedStatement',
+    'encode_values',
+)
+
+_EXPECTED_ERRORS = (RequestError, StatementError, OptionError)
+_INTERNAL_ERROR = 'XX000'
+_SYNTAX_ERROR = '42601'
+_CHANGED_RESULT = '0A000'
+_PARAMETER_SIGN = '$'
+
+
+@final
+class CallerSession(BaseSession):
+    """Links a caller's connection with its session.
+
+    Args:
+        executor: Runs statements.
+        session: State of the session.
+    """
+
+    def __init__(self, executor: Executor, session: Session) -> None:
+        self._executor = executor
+        self.state = session
+
+    async def close(self) -> None:
+        """Roll back what the caller left open."""
+        await self._executor.close(self.state)
+
+    async def prepare(
+        self,
+        sql: str,
+        param_oids: list[int | None],
+    ) -> 'PreparedStatement':
+        """Return a prepared statement with the types of its parameters."""
+        texts = split(sql)
+        if len(texts) > 1:
+            raise PgError(
+                _SYNTAX_ERROR,
+                'cannot insert multiple commands into a prepared statement',
+            )
+        prepared = PreparedStatement(self, classify(sql), param_oids)
+        if _PARAMETER_SIGN in sql:
+            await prepared.describe()
+        return prepared
+
+    async def run(
+        self,
+        statement: Statement,
+        parameters: tuple[str | None, ...],
+    ) -> Answer:
+        """Run a statement; errors come out as the caller sees them."""
+        try:
+            return await self._executor.run(self.state, statement, parameters)
+        except _EXPECTED_ERRORS as error:
+            self.state.fail()
+            raise convert_error(error) from None
+        except Exception as error:
+            self.state.fail()
+            logger.opt(exception=error).error('statement_crashed')
+            raise PgError(
+                _INTERNAL_ERROR,
+                'internal error of the proxy',
+                D='verdict: {0}'.format(Verdict.MAY_HAVE_RUN.value),
+            ) from None
+
+    async def fetch_shape(
+        self,
+        statement: Statement,
+    ) -> tuple[tuple[int, ...], tuple[Column, ...] | None]:
+        """Return parameter types and result columns of a statement."""
+        try:
+            found = await self._executor.describe(self.state, statement)
+        except _EXPECTED_ERRORS as error:
+            self.state.fail()
+            raise convert_error(error) from None
+        return found.parameter_oids, found.columns
+
+    def forget_shape(self, statement: Statement) -> None:
+        """Drop the known shape of a statement."""
+        self._executor.forget_description(self.state, statement)
+
+
+@final
+class PreparedStatement(BaseStatement):
+    """A statement that a caller has prepared.
+
+    Args:
+        caller: The session that it belongs to.
+        statement: The statement.
+        given_oids: Parameter types that the caller stated.
+    """
+
+    def __init__(
+        self,
+        caller: CallerSession,
+        statement: Statement,
+        given_oids: Sequence[int | None],
+    ) -> None:
+        self.caller = caller
+        self.statement = statement
+        self.sql = statement.text
+        self.param_oids = list(given_oids)
+        self._columns: list[ResultColumn] | None = None
+        self._is_described = False
+
+    async def describe(self) -> list[ResultColumn] | None:
+        """Return the result columns; fill in the parameter types."""
+        if self._is_described or self.statement.kind is Kind.EMPTY:
+            return self._columns
+        oids, columns = await self.caller.fetch_shape(self.statement)
+        self.param_oids = _merge_oids(self.param_oids, oids)
+        if columns is not None:
+            self._columns = [ResultColumn(one.name, one.oid) for one in columns]
+        self._is_described = True
+        return self._columns
+
+    def bind(self, params: list[str | None]) -> 'CallerPortal':
+        """Return a portal that runs the statement with ``params``."""
+        return CallerPortal(self, tuple(params))
+
+
+@final
+class CallerPortal(BasePortal):
+    """A bound statement; its first use runs it.
+
+    Args:
+        prepared: The statement.
+        parameters: Its parameters in text form.
+    """
+
+    def __init__(
+        self,
+        prepared: PreparedStatement,
+        parameters: tuple[str | None, ...],
+    ) -> None:
+        self._prepared = prepared
+        self._parameters = parameters
+        self._answer: Answer | None = None
+        self._given = 0
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether there is nothing to run."""
+        return self._prepared.statement.kind is Kind.EMPTY
+
+    async def run(self) -> Answer:
+        """Return the answer, running the statement the first time."""
+        if self._answer is None:
+            prepared = self._prepared
+            answer = await prepared.caller.run(
+                prepared.statement,
+                self._parameters,
+            )
+            self._check_shape(answer, await prepared.describe())
+            self._answer = answer
+        return self._answer
+
+    async def execute(self, max_rows: int) -> tuple[list[Any], bool]:
+        """Return the next rows, and whether there may be more."""
+        answer = await self.run()
+        return self.take(answer, max_rows)
+
+    def take(self, answer: Answer, max_rows: int) -> tuple[list[Any], bool]:
+        """Return the next ``max_rows`` rows of ``answer``; 0 for the rest."""
+        begin = self._given
+        end = len(answer.rows)
+        if max_rows > 0:
+            end = min(end, begin + max_rows)
+        self._given = end
+        is_suspended = 0 < max_rows == end - begin
+        return list(answer.rows[begin:end]), is_suspended
+
+    def _check_shape(
+        self,
+        answer: Answer,
+        expected: list[ResultColumn] | None,
+    ) -> None:
+        """Refuse rows of another shape than the caller was told."""
+        found = answer.columns or ()
+        known = [(one.name, one.oid) for one in expected or ()]
+        if [(one.name, one.oid) for one in found] == known:
+            return
+        statement = self._prepared.statement
+        self._prepared.caller.forget_shape(statement)
+        raise PgError(
+            _CHANGED_RESULT,
+            'cached plan must not change result type',
+            D='verdict: {0}'.format(
+                Verdict.NOT_RUN.value
+                if statement.kind is Kind.READ
+                else Verdict.RAN.value,
+            ),
+        )
+
+
+def encode_values(
+    row: Sequence[str | None],
+    columns: Sequence[Column],
+    formats: list[int],
+) -> list[bytes | None]:
+    """Return a row's values in the forms that the caller asked for."""
+    if not any(formats):
+        return [None if text is None else text.encode() for text in row]
+    return [
+        None if text is None else _encode_value(text, column, formats, index)
+        for index, (text, column) in enumerate(zip(row, columns, strict=True))
+    ]
+
+
+def _encode_value(
+    text: str,
+    column: Column,
+    formats: list[int],
+    index: int,
+) -> bytes:
+    if format_code_for(formats, index) == 0:
+        return text.encode()
+    return encode_binary(column.oid, text)
+
+
+def _merge_oids(
+    given: Sequence[int | None],
+    found: Sequence[int],
+) -> list[int | None]:
+    merged: list[int | None] = list(found)
+    for index, oid in enumerate(given):
+        if index >= len(merged):
+            merged.append(oid)
+        elif oid is not None:
+            merged[index] = oid
+    return merged
--- a/catkincrank/filters/acknowledgement.py
+++ b/catkincrank/filters/acknowledgement.py
@@ -1,4 +1,4 @@
-"""Filter that gives each write its service's acknowledgement policy."""
+"""Filter that gives each request its service's acknowledgement policy."""
 
 from collections.abc import Iterable, Iterator
 from functools import cache
@@ -6,7 +6,7 @@
 
 from catkincrank.acknowledgement import Acknowledgement, acknowledgements
 from catkincrank.filter import Filter, filters
-from catkincrank.request import Access, Request
+from catkincrank.request import Request
 
 __all__ = ('AcknowledgementFilter',)
 
@@ -19,9 +19,8 @@
     def filter(self, requests: Iterable[Request]) -> Iterator[Request]:
         """Set ``acknowledgement``."""
         for request in requests:
-            if request.access is Access.WRITE:
-                name = request.service.acknowledgement
-                request.acknowledgement = _make_policy(name)
+            name = request.service.acknowledgement
+            request.acknowledgement = _make_policy(name)
             yield request
 
 
--- a/catkincrank/session.py
+++ b/catkincrank/session.py
@@ -7,6 +7,7 @@
 from catkincrank.endpoint import TransactionStatus
 from catkincrank.errors import OptionError
 from catkincrank.history import LogMark
+from catkincrank.optiontext import parse_set
 from catkincrank.sessionoptions import SessionOptions
 from catkincrank.tokens import SessionToken, encode_token
 
@@ -60,6 +61,11 @@
         if mark is not None and (self.mark is None or mark > self.mark):
             self.mark = mark
 
+    def fail(self) -> None:
+        """Note that a statement failed: so did the open transaction."""
+        if self.transaction is not None:
+            self.transaction.status = TransactionStatus.FAILED
+
     def show_token(self) -> str:
         """Return the token to carry; empty before the first write."""
         if self.mark is None:
@@ -87,6 +93,14 @@
             )
         self.advance(token.mark)
 
+    def remember(self, sql: str) -> None:
+        """Keep a ``SET`` that an endpoint accepted, for later statements."""
+        words = parse_set(sql)
+        if words is None:
+            self.settings[sql.lower()] = sql
+        elif not words.is_local:
+            self.settings[words.name] = sql
+
     def show(self, name: str) -> str:
         """Return an option's text form."""
         if name == SessionOptions.session.name:
--- /dev/null
+++ b/catkincrank/textvalues.py
@@ -0,0 +1,84 @@
+"""Turns values in PostgreSQL's text form into its binary form."""
+
+from collections.abc import Callable
+from datetime import UTC, date, datetime, time, timedelta
+from types import MappingProxyType
+from typing import Any
+
+from pg_mimic import types as pg
+from pg_mimic.arrays import element_oid_of, is_array_oid, parse_array_literal
+from pg_mimic.types import encode_value_binary
+
+__all__ = ('encode_binary',)
+
+_HEX_PREFIX = '\\x'
+_UNITS = MappingProxyType(
+    {'day': 'days', 'days': 'days'},
+)
+
+
+def encode_binary(oid: int, text: str) -> bytes:
+    """Return the binary form of a value of the type ``oid``.
+
+    Raises:
+        ValueError: The type has no binary form here.
+    """
+    if is_array_oid(oid):
+        nested = parse_array_literal(text)
+        return encode_value_binary(oid, _decode(element_oid_of(oid), nested))
+    return encode_value_binary(oid, _decode(oid, text))
+
+
+def _decode(oid: int, text: Any) -> Any:
+    if isinstance(text, list):
+        return [_decode(oid, element) for element in text]
+    if text is None:
+        return None
+    decode = _DECODERS.get(oid)
+    return text if decode is None else decode(text)
+
+
+def _decode_bool(text: str) -> bool:
+    return text in {'t', 'true', '1'}
+
+
+def _decode_bytes(text: str) -> bytes:
+    if text.startswith(_HEX_PREFIX):
+        return bytes.fromhex(text[len(_HEX_PREFIX) :])
+    return text.encode('utf-8')
+
+
+def _decode_timestamptz(text: str) -> datetime:
+    moment = datetime.fromisoformat(text)
+    return moment if moment.tzinfo else moment.replace(tzinfo=UTC)
+
+
+def _decode_interval(text: str) -> timedelta:
+    """Read the ``postgres`` style, e.g. ``1 day 02:03:04.5``."""
+    *pairs, clock = text.split() if ':' in text else [*text.split(), '0:0:0']
+    days = 0
+    for amount, unit in zip(pairs[::2], pairs[1::2], strict=True):
+        if unit not in _UNITS:
+            raise ValueError('intervals of months have no binary form here')
+        days += int(amount)
+    sign = -1 if clock.startswith('-') else 1
+    hours, minutes, seconds = clock.lstrip('+-').split(':')
+    span = timedelta(
+        hours=int(hours),
+        minutes=int(minutes),
+        seconds=float(seconds),
+    )
+    return timedelta(days=days) + sign * span
+
+
+_DECODERS: MappingProxyType[int, Callable[[str], Any]] = MappingProxyType(
+    {
+        pg.BOOL: _decode_bool,
+        pg.BYTEA: _decode_bytes,
+        pg.DATE: date.fromisoformat,
+        pg.TIME: time.fromisoformat,
+        pg.TIMESTAMP: datetime.fromisoformat,
+        pg.TIMESTAMPTZ: _decode_timestamptz,
+        pg.INTERVAL: _decode_interval,
+    },
+)
--- a/catkincrank/transaction.py
+++ b/catkincrank/transaction.py
@@ -3,7 +3,12 @@
 from typing import final
 
 from catkincrank.acknowledging import Acknowledger
-from catkincrank.endpoint import Answer, StatementError, TransactionStatus
+from catkincrank.endpoint import (
+    Answer,
+    Description,
+    StatementError,
+    TransactionStatus,
+)
 from catkincrank.errors import EndpointError
 from catkincrank.history import LogMark
 from catkincrank.leases import Lease, Leases
@@ -123,6 +128,26 @@
             transaction.has_written = True
         return answer
 
+    async def describe(
+        self,
+        session: Session,
+        request: Request,
+    ) -> Description:
+        """Return the shape of a statement as the transaction sees it."""
+        transaction = _find_transaction(session)
+        lease = transaction.lease
+        if lease is None or not lease.is_open:
+            raise _explain_failed()
+        try:
+            return await lease.connection.describe(request.statement.text)
+        except StatementError as error:
+            transaction.status = error.transaction
+            raise
+        except BaseException:
+            transaction.status = TransactionStatus.FAILED
+            await self._leases.discard(lease)
+            raise
+
     async def commit(self, session: Session, request: Request) -> Answer:
         """Commit, and wait until that may be acknowledged."""
         transaction = _find_transaction(session)
@@ -241,9 +266,7 @@
         lease = transaction.lease
         mark = await self._leases.commit(lease)
         await self._leases.release(lease)
-        policy = request.acknowledgement
-        if policy is not None:
-            await self._acknowledger.confirm(request, mark)
+        await self._acknowledger.confirm(request, mark)
         return RequestError(
             Verdict.RAN,
             Reason.ALREADY_RAN,
@@ -266,7 +289,7 @@
             return _COMMITTED
         if mark is None:
             return _ROLLED_BACK
-        if transaction.has_written:
+        if transaction.has_written or transaction.claim is not None:
             await self._acknowledger.confirm(request, mark)
             session.advance(mark)
         return _COMMITTED
