--- a/catkincrank/acknowledging.py
+++ b/catkincrank/acknowledging.py
@@ -5,8 +5,8 @@
 import anyio
 
 from catkincrank.acknowledgement import Standing
-from catkincrank.feed import Feed, FeedWaiter
 from catkincrank.history import LogMark
+from catkincrank.news import News
 from catkincrank.request import Request
 from catkincrank.verdict import Reason, RequestError, Verdict
 
@@ -18,15 +18,14 @@
     """Applies acknowledgement policies to commits.
 
     Args:
-        feed: Evidence about the groups.
-        waiter: Lets tasks wait for news in ``feed``.
+        news: Evidence about the groups, and a way to wait for more.
     """
 
-    __slots__ = ('_feed', '_waiter')
+    __slots__ = ('_feed', '_news')
 
-    def __init__(self, feed: Feed, waiter: FeedWaiter) -> None:
-        self._feed = feed
-        self._waiter = waiter
+    def __init__(self, news: News) -> None:
+        self._news = news
+        self._feed = news.feed
 
     async def confirm(self, request: Request, mark: LogMark | None) -> None:
         """Return once the write that ended at ``mark`` is confirmed.
@@ -49,7 +48,7 @@
             if standing is Standing.REPLACED:
                 raise _explain('the primary was replaced before a replica '
                                'had the commit')
-            await self._waiter.changed(request.group, revision)
+            await self._news.wait(request.group, revision)
 
 
 def _explain(cause: str) -> RequestError:
--- a/catkincrank/callerconnection.py
+++ b/catkincrank/callerconnection.py
@@ -132,25 +132,27 @@
         return True
 
     async def _command_loop(self) -> None:
-        is_between = True
+        self.is_waiting = True
         while True:
-            self.is_waiting = is_between
             tag, payload = await self.stream.read_message()
             self.is_waiting = False
             if tag == messages.TERMINATE:
                 return
             await self._dispatch(tag, payload)
-            is_between = tag in _READY_TAGS
-            if is_between:
-                self._ignore_until_sync = False
-                self.tx_status = self.state.status.value.encode('ascii')
-                ready = messages.make_ready_for_query(self.tx_status)
-                self.stream.write(ready)
+            if tag in _READY_TAGS:
+                self._finish_cycle()
             if tag in _FLUSHING_TAGS:
                 await self.stream.drain()
-            if is_between and self.server.is_draining:
+            if self.server.is_draining:
                 await self.server.end_if_idle(self)
 
+    def _finish_cycle(self) -> None:
+        """Tell the caller that its next request may come."""
+        self._ignore_until_sync = False
+        self.tx_status = self.state.status.value.encode('ascii')
+        self.stream.write(messages.make_ready_for_query(self.tx_status))
+        self.is_waiting = True
+
     async def _handle_simple_query(self, sql: str) -> None:
         statements = [classify(text) for text in split(sql)]
         if not statements:
--- a/catkincrank/frontend.py
+++ b/catkincrank/frontend.py
@@ -103,7 +103,7 @@
 
     async def end_if_idle(self, connection: CallerConnection) -> None:
         """End a connection that has nothing in flight."""
-        if connection.is_idle or connection.is_between:
+        if connection.is_idle:
             await connection.end(self._explain_drain(connection.state))
 
     def _make_protocol(self) -> asyncio.StreamReaderProtocol:
--- a/catkincrank/primary.py
+++ b/catkincrank/primary.py
@@ -6,8 +6,8 @@
 import anyio
 
 from catkincrank.errors import EndpointError
-from catkincrank.feed import Feed, FeedWaiter
 from catkincrank.leases import Lease, Leases
+from catkincrank.news import News
 from catkincrank.request import Request
 from catkincrank.retrying import Retries
 from catkincrank.routing import Route, choose_write
@@ -23,23 +23,21 @@
     """Leases connections to primaries; requests wait here in a failover.
 
     Args:
-        feed: Evidence about the groups.
-        waiter: Lets tasks wait for news in ``feed``.
+        news: Evidence about the groups, and a way to wait for more.
         leases: Connections.
         retries: Spreads attempts to connect.
     """
 
-    __slots__ = ('_feed', '_leases', '_retries', '_waiter', '_waiting')
+    __slots__ = ('_feed', '_leases', '_retries', '_news', '_waiting')
 
     def __init__(
         self,
-        feed: Feed,
-        waiter: FeedWaiter,
+        news: News,
         leases: Leases,
         retries: Retries,
     ) -> None:
-        self._feed = feed
-        self._waiter = waiter
+        self._news = news
+        self._feed = news.feed
         self._leases = leases
         self._retries = retries
         self._waiting: Counter[str] = Counter()
@@ -78,7 +76,7 @@
             revision = self._feed.revision(request.group)
             choice = self._choose(request)
             if not isinstance(choice, Route):
-                await self._waiter.changed(request.group, revision)
+                await self._news.wait(request.group, revision)
                 continue
             try:
                 lease = await self._acquire(request, choice.endpoint)
@@ -116,7 +114,7 @@
             if not isinstance(choice, Route) or choice.endpoint != endpoint:
                 scope.cancel()
                 return
-            await self._waiter.changed(request.group, revision)
+            await self._news.wait(request.group, revision)
 
     def _choose(self, request: Request) -> object:
         loads = self._leases.loads(request.group, request.service)
--- /dev/null
+++ b/catkincrank/proxy.py
@@ -0,0 +1,195 @@
+"""The proxy: serves callers of the groups that its settings name."""
+
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import final
+
+import anyio
+from anyio.abc import TaskStatus
+from loguru import logger
+
+from catkincrank.acknowledging import Acknowledger
+from catkincrank.endpoint import Driver
+from catkincrank.executor import Executor, Runners
+from catkincrank.feed import Feed
+from catkincrank.feedclient import FeedClient, KeeperAddress
+from catkincrank.frontend import CallerServer
+from catkincrank.journal import Journal
+from catkincrank.leases import Leases, LeasesOptions
+from catkincrank.messages import Hello
+from catkincrank.news import News
+from catkincrank.pipeline import Pipeline
+from catkincrank.primary import PrimaryFinder
+from catkincrank.reading import Reader
+from catkincrank.retrying import Retries
+from catkincrank.settings import Service, Team
+from catkincrank.transaction import Transactions
+from catkincrank.writing import Writer
+
+__all__ = ('Proxy', 'ProxyOptions', 'serve')
+
+_APPLICATION = 'catkincrank-proxy {0}'
+_PASSWORD_VARIABLE = 'CATKINCRANK_PASSWORD_{0}'
+_DRAIN_POLL_S = 0.05
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ProxyOptions:
+    """What a proxy is told at its start.
+
+    Attributes:
+        name: Name of the process.
+        zone: Availability zone it runs in.
+        host: IP number to listen on.
+        port: TCP port to listen on; 0 takes a free one.
+        keepers: Keepers to learn from, the VM's own first.
+        teams: Subtrees known at the start, by team.
+        environment: Where passwords are looked up by variable name.
+        drain_limit_s: Longest time that a drain waits for callers.
+        driver: Endpoint driver to use in place of the services' own.
+        extensions: Tasks that run beside the proxy, each given the proxy.
+    """
+
+    name: str
+    zone: str
+    host: str = '127.0.0.1'
+    port: int = 0
+    keepers: tuple[KeeperAddress, ...] = ()
+    teams: Mapping[str, Team] = field(default_factory=dict)
+    environment: Mapping[str, str] = field(default_factory=dict, repr=False)
+    drain_limit_s: float = 30
+    driver: Driver | None = None
+    extensions: tuple[Callable[['Proxy'], Awaitable[None]], ...] = ()
+
+
+@final
+class Proxy:
+    """State of one proxy.
+
+    Args:
+        options: What it is told at its start.
+
+    Attributes:
+        client: Link to a keeper, which fills ``feed``.
+        feed: What it knows of the groups.
+        journal: Its decisions.
+        leases: Connections to endpoints.
+        server: Its callers.
+    """
+
+    def __init__(self, options: ProxyOptions) -> None:
+        self.options = options
+        self.feed = Feed()
+        self.journal = Journal(options.name)
+        hello = Hello(options.name, 'proxy', options.zone)
+        self.client = FeedClient(hello, options.keepers, self.feed)
+        self._services: dict[str, Service] = {}
+        self._drain_asked = anyio.Event()
+        self.leases = Leases(
+            LeasesOptions(
+                _APPLICATION.format(options.name),
+                options.zone,
+                options.environment,
+                options.driver,
+            ),
+        )
+        self.server = CallerServer(
+            self._make_executor(),
+            self._services.__contains__,
+            self._find_password,
+        )
+
+    def apply_team(self, name: str, team: Team | None) -> None:
+        """Bring a team's subtree into force; ``None`` removes the team."""
+        prefix = '{0}/'.format(name)
+        services = {} if team is None else team.services
+        wanted = {prefix + key: service for key, service in services.items()}
+        for group in tuple(self._services):
+            if group.startswith(prefix) and group not in wanted:
+                self._services.pop(group)
+                self.client.interest.remove(group)
+        for group, service in wanted.items():
+            self._services[group] = service
+            names = (endpoint.name for endpoint in service.endpoints)
+            self.feed.set_members(group, names)
+            self.client.interest.add(group)
+
+    def request_drain(self) -> list[str]:
+        """Begin to drain; return what it waits for."""
+        self._drain_asked.set()
+        return self.list_pending()
+
+    def list_pending(self) -> list[str]:
+        """Return what a drain has to wait for."""
+        return [
+            'caller {0} of {1}: {2}'.format(
+                connection.pid,
+                connection.state.group,
+                'transaction' if connection.is_waiting else 'statement',
+            )
+            for connection in self.server.connections
+            if not connection.is_idle
+        ]
+
+    async def wait_drained(self) -> None:
+        """Wait for the request to drain, then until it is done."""
+        await self._drain_asked.wait()
+        await self.server.drain()
+        with anyio.move_on_after(self.options.drain_limit_s):
+            while self.server.connections:
+                await anyio.sleep(_DRAIN_POLL_S)
+
+    def _make_executor(self) -> Executor:
+        news = News(self.feed, self.client.interest.hurry)
+        retries = Retries(random.Random())
+        reader = Reader(news, self.leases, retries, self.options.zone)
+        primaries = PrimaryFinder(news, self.leases, retries)
+        acknowledger = Acknowledger(news)
+        writer = Writer(self.leases, primaries, acknowledger, retries)
+        transactions = Transactions(
+            self.leases,
+            reader,
+            writer,
+            primaries,
+            acknowledger,
+            retries,
+        )
+        return Executor(
+            self._services.get,
+            Pipeline.from_names(),
+            Runners(self.leases, reader, writer, transactions, retries),
+        )
+
+    def _find_password(self, group: str) -> str | None:
+        team = group.partition('/')[0].upper().replace('-', '_')
+        variable = _PASSWORD_VARIABLE.format(team)
+        return self.options.environment.get(variable)
+
+
+async def serve(
+    options: ProxyOptions,
+    *,
+    task_status: TaskStatus[Proxy] = anyio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a proxy until it is cancelled or drained."""
+    async with anyio.create_task_group() as tasks:
+        proxy = Proxy(options)
+        for name, team in options.teams.items():
+            proxy.apply_team(name, team)
+        if options.keepers:
+            tasks.start_soon(proxy.client.run)
+        for extension in options.extensions:
+            tasks.start_soon(extension, proxy)
+        await proxy.server.start(options.host, options.port)
+        logger.bind(event='proxy_started', port=proxy.server.port).info(
+            'proxy listens',
+        )
+        task_status.started(proxy)
+        try:
+            await proxy.wait_drained()
+        finally:
+            proxy.server.close()
+            await proxy.leases.close()
+        tasks.cancel_scope.cancel()
--- /dev/null
+++ b/catkincrank/proxyprogram.py
@@ -0,0 +1,73 @@
+"""The proxy as a program: its flags, and what runs beside it."""
+
+import os
+from dataclasses import dataclass
+from typing import final
+
+from catkincrank.errors import OptionError
+from catkincrank.feedclient import KeeperAddress
+from catkincrank.proxy import ProxyOptions, serve
+
+__all__ = ('KeeperFlag', 'ProxyFlags', 'run')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class KeeperFlag:
+    """A keeper, as ``NAME/HOST:PORT``.
+
+    Attributes:
+        address: What the text stands for.
+    """
+
+    address: KeeperAddress
+
+    @classmethod
+    def parse(cls, text: str) -> 'KeeperFlag':
+        """Return the keeper that ``text`` names."""
+        name, slash, place = text.partition('/')
+        host, _, port = place.rpartition(':')
+        if not slash or not host or not port.isdecimal():
+            raise OptionError('--keepers', text, 'NAME/HOST:PORT')
+        return cls(KeeperAddress(name, host, int(port)))
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ProxyFlags:
+    """Options of a proxy.
+
+    Attributes:
+        name: Name of the process.
+        zone: Availability zone it runs in.
+        host: IP number to listen on.
+        port: TCP port to listen on, shared with other proxies of the VM.
+        keepers: Keepers, NAME/HOST:PORT parted by commas, the VM's own first.
+        drain_limit_s: Longest time that a drain waits for callers, in seconds.
+        admin_host: IP number of the admin port.
+        admin_port: TCP port of the admin port; 0 takes a free one.
+    """
+
+    name: str
+    zone: str
+    host: str = '127.0.0.1'
+    port: int = 6432
+    keepers: tuple[KeeperFlag, ...] = ()
+    drain_limit_s: float = 30
+    admin_host: str = '127.0.0.1'
+    admin_port: int = 0
+
+
+async def run(flags: ProxyFlags) -> None:
+    """Run a proxy until it is cancelled or drained."""
+    await serve(
+        ProxyOptions(
+            flags.name,
+            flags.zone,
+            flags.host,
+            flags.port,
+            keepers=tuple(keeper.address for keeper in flags.keepers),
+            environment=os.environ,
+            drain_limit_s=flags.drain_limit_s,
+        ),
+    )
--- a/catkincrank/reading.py
+++ b/catkincrank/reading.py
@@ -6,9 +6,9 @@
 
 from catkincrank.endpoint import Answer, StatementError
 from catkincrank.errors import EndpointError
-from catkincrank.feed import Feed, FeedWaiter
 from catkincrank.history import Containment
 from catkincrank.leases import Lease, Leases
+from catkincrank.news import News
 from catkincrank.request import Progress, Request
 from catkincrank.retrying import Retries
 from catkincrank.routing import (
@@ -33,25 +33,23 @@
     """Runs reads.
 
     Args:
-        feed: Evidence about the groups.
-        waiter: Lets tasks wait for news in ``feed``.
+        news: Evidence about the groups, and a way to wait for more.
         leases: Connections.
         retries: Retry budgets.
         zone: Availability zone of the proxy.
     """
 
-    __slots__ = ('_feed', '_leases', '_retries', '_waiter', '_zone')
+    __slots__ = ('_feed', '_leases', '_retries', '_news', '_zone')
 
     def __init__(
         self,
-        feed: Feed,
-        waiter: FeedWaiter,
+        news: News,
         leases: Leases,
         retries: Retries,
         zone: str,
     ) -> None:
-        self._feed = feed
-        self._waiter = waiter
+        self._news = news
+        self._feed = news.feed
         self._leases = leases
         self._retries = retries
         self._zone = zone
@@ -149,11 +147,11 @@
 
     async def _await_news(self, wanted: ReadRequest, revision: int) -> None:
         if not self._is_ahead(wanted):
-            await self._waiter.changed(wanted.group, revision)
+            await self._news.wait(wanted.group, revision)
             return
         give_up_at = wanted.arrived_at + _AHEAD_LIMIT_S
         with anyio.CancelScope(deadline=give_up_at) as scope:
-            await self._waiter.changed(wanted.group, revision)
+            await self._news.wait(wanted.group, revision)
         if scope.cancelled_caught:
             raise RequestError(
                 Verdict.NOT_RUN,
