--- a/catkincrank/acknowledging.py
+++ b/catkincrank/acknowledging.py
@@ -46,8 +46,9 @@
             if standing is Standing.CONFIRMED:
                 return
             if standing is Standing.REPLACED:
-                raise _explain('the primary was replaced before a replica '
-                               'had the commit')
+                raise _explain(
+                    'the primary was replaced before a replica had the commit'
+                )
             await self._news.wait(request.group, revision)
 
 
--- /dev/null
+++ b/catkincrank/assembly.py
@@ -0,0 +1,53 @@
+"""Puts the parts that run statements together."""
+
+import random
+from collections.abc import Callable
+
+from catkincrank import acknowledgements, endpoints, filters  # noqa: F401
+from catkincrank.acknowledging import Acknowledger
+from catkincrank.executor import Executor, Runners
+from catkincrank.leases import Leases
+from catkincrank.news import News
+from catkincrank.pipeline import Pipeline
+from catkincrank.primary import PrimaryFinder
+from catkincrank.reading import Reader
+from catkincrank.retrying import Retries
+from catkincrank.settings import Service
+from catkincrank.transaction import Transactions
+from catkincrank.writing import Writer
+
+__all__ = ('assemble_executor',)
+
+
+def assemble_executor(
+    news: News,
+    leases: Leases,
+    find_service: Callable[[str], Service | None],
+    zone: str,
+) -> Executor:
+    """Return an executor with every variant registered.
+
+    Args:
+        news: Evidence about the groups.
+        leases: Connections to endpoints.
+        find_service: Returns the settings in force of a group.
+        zone: Availability zone of the proxy.
+    """
+    retries = Retries(random.Random())
+    reader = Reader(news, leases, retries, zone)
+    primaries = PrimaryFinder(news, leases, retries)
+    acknowledger = Acknowledger(news)
+    writer = Writer(leases, primaries, acknowledger, retries)
+    transactions = Transactions(
+        leases,
+        reader,
+        writer,
+        primaries,
+        acknowledger,
+        retries,
+    )
+    return Executor(
+        find_service,
+        Pipeline.from_names(),
+        Runners(leases, reader, writer, transactions, retries),
+    )
--- a/catkincrank/callerconnection.py
+++ b/catkincrank/callerconnection.py
@@ -27,7 +27,7 @@
 
 __all__ = ('CallerConnection', 'CallerStream')
 
-_MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+_MAX_MESSAGE_BYTES = 0x4000000
 _MAX_STARTUP_BYTES = 10_000
 _LENGTH = struct.Struct('!i')
 _BAD_PASSWORD = '28P01'
@@ -90,7 +90,10 @@
 
     server: 'CallerServer'
     session: CallerSession
-    is_waiting = False
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self.is_waiting = False
 
     @property
     def state(self) -> Session:
@@ -163,7 +166,7 @@
             await self.session.run(classify('BEGIN'), ())
         try:
             for statement in statements:
-                await self._answer_simple(statement)
+                await self._answer_simple(statement)  # noqa: WPS476
         except PgError:
             if is_batch:
                 await self.session.run(classify('ROLLBACK'), ())
--- a/catkincrank/callersession.py
+++ b/catkincrank/callersession.py
@@ -55,7 +55,7 @@
         sql: str,
         param_oids: list[int | None],
     ) -> 'PreparedStatement':
-        """Return a prepared statement with the types of its parameters."""
+        """Return a prepared statement with the types of its params."""
         texts = split(sql)
         if len(texts) > 1:
             raise PgError(
@@ -70,11 +70,11 @@
     async def run(
         self,
         statement: Statement,
-        parameters: tuple[str | None, ...],
+        params: tuple[str | None, ...],
     ) -> Answer:
         """Run a statement; errors come out as the caller sees them."""
         try:
-            return await self._executor.run(self.state, statement, parameters)
+            return await self._executor.run(self.state, statement, params)
         except _EXPECTED_ERRORS as error:
             self.state.fail()
             raise convert_error(error) from None
@@ -149,16 +149,16 @@
 
     Args:
         prepared: The statement.
-        parameters: Its parameters in text form.
+        params: Its parameters in text form.
     """
 
     def __init__(
         self,
         prepared: PreparedStatement,
-        parameters: tuple[str | None, ...],
+        params: tuple[str | None, ...],
     ) -> None:
         self._prepared = prepared
-        self._parameters = parameters
+        self._params = params
         self._answer: Answer | None = None
         self._given = 0
 
@@ -173,7 +173,7 @@
             prepared = self._prepared
             answer = await prepared.caller.run(
                 prepared.statement,
-                self._parameters,
+                self._params,
             )
             self._check_shape(answer, await prepared.describe())
             self._answer = answer
@@ -191,7 +191,7 @@
         if max_rows > 0:
             end = min(end, begin + max_rows)
         self._given = end
-        is_suspended = 0 < max_rows == end - begin
+        is_suspended = max_rows > 0 and end - begin == max_rows
         return list(answer.rows[begin:end]), is_suspended
 
     def _check_shape(
--- a/catkincrank/executor.py
+++ b/catkincrank/executor.py
@@ -11,9 +11,7 @@
     Answer,
     Description,
     StatementError,
-    TransactionStatus,
 )
-from catkincrank.errors import EndpointError
 from catkincrank.leases import Leases
 from catkincrank.localanswers import LocalAnswers
 from catkincrank.pipeline import Pipeline
@@ -91,7 +89,7 @@
         self,
         session: Session,
         statement: Statement,
-        parameters: tuple[str | None, ...] = (),
+        params: tuple[str | None, ...] = (),
     ) -> Answer:
         """Run one statement to its final answer.
 
@@ -105,7 +103,7 @@
             return answer
         if statement.kind is Kind.BEGIN and session.transaction is None:
             return self.runners.transactions.begin(session, statement)
-        request = self._prepare(session, statement, parameters)
+        request = self._prepare(session, statement, params)
         return await self._limit(session, request, self._dispatch)
 
     async def describe(
@@ -127,7 +125,9 @@
         self._keep_description(key, found)
         return found
 
-    def forget_description(self, session: Session, statement: Statement) -> None:
+    def forget_description(
+        self, session: Session, statement: Statement
+    ) -> None:
         """Drop the shape of a statement that was altered since."""
         self._descriptions.pop((session.group, statement.text), None)
 
@@ -140,7 +140,7 @@
         self,
         session: Session,
         statement: Statement,
-        parameters: tuple[str | None, ...],
+        params: tuple[str | None, ...],
     ) -> Request:
         service = self._find_service(session.group)
         if service is None:
@@ -156,7 +156,7 @@
                 session.group,
                 service,
                 statement,
-                parameters,
+                params,
                 session.options.current,
                 anyio.current_time(),
             ),
@@ -169,11 +169,8 @@
         work: Callable[[Session, Request], Awaitable[OutcomeT]],
     ) -> OutcomeT:
         """Do ``work`` until the request's deadline or its cancellation."""
-        with session.open_scope(request.deadline_at):
-            try:
-                return await work(session, request)
-            finally:
-                session.close_scope()
+        with session.limit(request.deadline_at):
+            return await work(session, request)
         raise _explain_cut(session, request)
 
     async def _dispatch(self, session: Session, request: Request) -> Answer:
@@ -257,7 +254,7 @@
     is_safe = verdict is Verdict.NOT_RUN
     cause = 'the deadline passed'
     if session.is_cancelled:
-        cause = 'canceled at the caller\'s request'
+        cause = "canceled at the caller's request"
     return RequestError(
         verdict,
         Reason.DEADLINE if is_safe else Reason.OUTCOME_UNKNOWN,
--- a/catkincrank/frontend.py
+++ b/catkincrank/frontend.py
@@ -5,6 +5,7 @@
 import os
 import struct
 from collections.abc import Callable
+from contextlib import ExitStack
 from typing import Any, final
 
 from pg_mimic.errors import PgError
@@ -16,7 +17,7 @@
 from catkincrank.callersession import CallerSession
 from catkincrank.errors import OptionError
 from catkincrank.executor import Executor
-from catkincrank.localanswers import PARAMETERS
+from catkincrank.localanswers import REPORTED
 from catkincrank.optiontext import parse_startup_options
 from catkincrank.session import Session
 from catkincrank.verdict import Reason, RequestError, Verdict
@@ -68,7 +69,7 @@
         find_password: Callable[[str], str | None],
     ) -> None:
         super().__init__(session_factory=_refuse_factory)
-        self.parameter_status.update(PARAMETERS)
+        self.parameter_status.update(REPORTED)
         self.find_password = find_password
         self.is_draining = False
         self._executor = executor
@@ -99,7 +100,7 @@
         """Refuse new callers and end idle ones; the others finish first."""
         self.is_draining = True
         for connection in self.connections:
-            await self.end_if_idle(connection)
+            await self.end_if_idle(connection)  # noqa: WPS476
 
     async def end_if_idle(self, connection: CallerConnection) -> None:
         """End a connection that has nothing in flight."""
@@ -123,32 +124,31 @@
         stream = CallerStream(reader, writer)
         try:
             await self._serve_stream(stream)
-        except (ConnectionClosed, OSError, UnicodeDecodeError, ValueError):
+        except (ConnectionClosed, OSError, ValueError):
             return
 
     async def _serve_stream(self, stream: CallerStream) -> None:
-        parameters = await self._negotiate_startup(stream)
-        if parameters is None:
+        startup = await self._negotiate_startup(stream)
+        if startup is None:
             return
-        session = Session(_find_group(parameters))
-        connection = self._make_connection(stream, session, parameters)
+        session = Session(_find_group(startup))
+        connection = self._make_connection(stream, session, startup)
         try:
-            self._admit(session, parameters)
+            self._admit(session, startup)
         except (RequestError, OptionError) as error:
             await connection.end(convert_error(error))
             return
         stream.reader.on_gone = session.cancel
-        self._connections[connection.pid] = connection
-        try:
+        with ExitStack() as stack:
+            stack.callback(self._connections.pop, connection.pid, None)
+            self._connections[connection.pid] = connection
             await connection.run()
-        finally:
-            self._connections.pop(connection.pid, None)
 
     def _make_connection(
         self,
         stream: CallerStream,
         session: Session,
-        parameters: dict[str, str],
+        startup: dict[str, str],
     ) -> CallerConnection:
         secret = struct.unpack('!i', os.urandom(_SECRET_BYTES))[0]
         return CallerConnection(
@@ -157,10 +157,10 @@
             self,
             self._allocate_pid(),
             secret,
-            parameters,
+            startup,
         )
 
-    def _admit(self, session: Session, parameters: dict[str, str]) -> None:
+    def _admit(self, session: Session, startup: dict[str, str]) -> None:
         if self.is_draining:
             raise _make_drain_error()
         if not self._has_service(session.group):
@@ -171,7 +171,7 @@
                 'database team/service'.format(session.group),
                 retry_after_s=_UNKNOWN_HINT_S,
             )
-        for words in parse_startup_options(parameters.get('options', '')):
+        for words in parse_startup_options(startup.get('options', '')):
             if words.is_own:
                 session.assign(words.name, words.text)
 
@@ -186,11 +186,11 @@
         return error
 
 
-def _find_group(parameters: dict[str, str]) -> str:
-    database = parameters.get('database', '')
+def _find_group(startup: dict[str, str]) -> str:
+    database = startup.get('database', '')
     if '/' in database:
         return database
-    return parameters.get('user', '').replace('.', '/', 1)
+    return startup.get('user', '').replace('.', '/', 1)
 
 
 def _make_drain_error() -> RequestError:
--- a/catkincrank/leases.py
+++ b/catkincrank/leases.py
@@ -1,7 +1,8 @@
 """Connections to endpoints, leased to one transaction at a time."""
 
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from typing import final
 
@@ -105,6 +106,17 @@
         self.idle: deque[EndpointConnection] = deque()
         self.waiting = 0
 
+    @contextmanager
+    def count_waiting(self) -> Iterator[None]:
+        """Count a request that waits for a connection."""
+        with ExitStack() as stack:
+            stack.callback(self._stop_waiting)
+            self.waiting += 1
+            yield
+
+    def _stop_waiting(self) -> None:
+        self.waiting -= 1
+
 
 @final
 class Leases:
@@ -161,11 +173,11 @@
         self,
         lease: Lease,
         sql: str,
-        parameters: Sequence[str | None] = (),
+        params: Sequence[str | None] = (),
     ) -> Answer:
         """Run a statement; discard the lease unless a whole answer came."""
         try:
-            return await lease.connection.execute(sql, parameters)
+            return await lease.connection.execute(sql, params)
         except StatementError:
             raise
         except BaseException:
@@ -176,7 +188,7 @@
         """Run a caller's ``SET`` statements; they are undone at release."""
         lease.is_dirty = True
         for sql in settings.values():
-            await self.execute(lease, sql)
+            await self.execute(lease, sql)  # noqa: WPS476
 
     async def commit(self, lease: Lease) -> LogMark | None:
         """Commit; discard the lease unless a whole answer came."""
@@ -233,7 +245,7 @@
         """Close the idle connections."""
         for pool in self._pools.values():
             while pool.idle:
-                await _close(pool.idle.pop())
+                await _close(pool.idle.pop())  # noqa: WPS476
 
     async def _take_token(
         self,
@@ -248,11 +260,8 @@
                 'too many requests wait for a connection',
                 retry_after_s=_OVERLOAD_HINT_S,
             )
-        pool.waiting += 1
-        try:
+        with pool.count_waiting():
             await pool.limiter.acquire_on_behalf_of(holder)
-        finally:
-            pool.waiting -= 1
 
     async def _connect(
         self,
--- a/catkincrank/localanswers.py
+++ b/catkincrank/localanswers.py
@@ -15,9 +15,9 @@
 from catkincrank.session import Session
 from catkincrank.statement import Kind, Statement
 
-__all__ = ('PARAMETERS', 'LocalAnswers')
+__all__ = ('REPORTED', 'LocalAnswers')
 
-PARAMETERS = MappingProxyType(
+REPORTED = MappingProxyType(
     {
         'server_version': '16.0',
         'server_encoding': 'UTF8',
@@ -149,7 +149,7 @@
 def _find_shown(session: Session, name: str) -> str | None:
     if name.startswith(_PREFIX):
         return session.show(name)
-    return PARAMETERS.get(name)
+    return REPORTED.get(name)
 
 
 def _answer_reset(session: Session, statement: Statement) -> Answer | None:
--- a/catkincrank/pipeline.py
+++ b/catkincrank/pipeline.py
@@ -3,13 +3,6 @@
 from collections.abc import Iterable, Iterator, Sequence
 from typing import final
 
-import catkincrank.acknowledgements.replica  # noqa: F401
-import catkincrank.filters.access
-import catkincrank.filters.acknowledgement
-import catkincrank.filters.deadline
-import catkincrank.filters.readrule
-import catkincrank.filters.requestkey
-import catkincrank.filters.retry  # noqa: F401
 from catkincrank.filter import Filter, filters
 from catkincrank.request import Request
 
--- a/catkincrank/primary.py
+++ b/catkincrank/primary.py
@@ -1,6 +1,7 @@
 """Finds a group's primary and leases connections to it."""
 
 from collections import Counter
+from contextlib import ExitStack
 from typing import final
 
 import anyio
@@ -64,11 +65,10 @@
                 'too many requests wait for the primary',
                 retry_after_s=_QUEUE_HINT_S,
             )
-        self._waiting[request.group] += 1
-        try:
+        with ExitStack() as stack:
+            stack.callback(self._waiting.subtract, (request.group,))
+            self._waiting[request.group] += 1
             return await self._wait_for_lease(request)
-        finally:
-            self._waiting[request.group] -= 1
 
     async def _wait_for_lease(self, request: Request) -> Lease:
         failures = 0
@@ -98,7 +98,7 @@
                 scope.cancel()
         except BaseException as error:
             for lease in held:
-                await self._leases.discard(lease)
+                await self._leases.discard(lease)  # noqa: WPS476
             raise _unwrap(error) from None
         return held[0] if held else None
 
--- a/catkincrank/proxy.py
+++ b/catkincrank/proxy.py
@@ -1,17 +1,16 @@
 """The proxy: serves callers of the groups that its settings name."""
 
-import random
+import uuid
 from collections.abc import Awaitable, Callable, Mapping
+from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 from typing import final
 
 import anyio
-from anyio.abc import TaskStatus
-from loguru import logger
+from anyio.abc import TaskGroup, TaskStatus
 
-from catkincrank.acknowledging import Acknowledger
+from catkincrank.assembly import assemble_executor
 from catkincrank.endpoint import Driver
-from catkincrank.executor import Executor, Runners
 from catkincrank.feed import Feed
 from catkincrank.feedclient import FeedClient, KeeperAddress
 from catkincrank.frontend import CallerServer
@@ -19,13 +18,7 @@
 from catkincrank.leases import Leases, LeasesOptions
 from catkincrank.messages import Hello
 from catkincrank.news import News
-from catkincrank.pipeline import Pipeline
-from catkincrank.primary import PrimaryFinder
-from catkincrank.reading import Reader
-from catkincrank.retrying import Retries
 from catkincrank.settings import Service, Team
-from catkincrank.transaction import Transactions
-from catkincrank.writing import Writer
 
 __all__ = ('Proxy', 'ProxyOptions', 'serve')
 
@@ -83,7 +76,12 @@
         self.options = options
         self.feed = Feed()
         self.journal = Journal(options.name)
-        hello = Hello(options.name, 'proxy', options.zone)
+        hello = Hello(
+            options.name,
+            options.zone,
+            'proxy',
+            uuid.uuid4().hex,
+        )
         self.client = FeedClient(hello, options.keepers, self.feed)
         self._services: dict[str, Service] = {}
         self._drain_asked = anyio.Event()
@@ -96,7 +94,12 @@
             ),
         )
         self.server = CallerServer(
-            self._make_executor(),
+            assemble_executor(
+                News(self.feed, self.client.interest.hurry),
+                self.leases,
+                self._services.get,
+                options.zone,
+            ),
             self._services.__contains__,
             self._find_password,
         )
@@ -141,31 +144,10 @@
             while self.server.connections:
                 await anyio.sleep(_DRAIN_POLL_S)
 
-    def _make_executor(self) -> Executor:
-        news = News(self.feed, self.client.interest.hurry)
-        retries = Retries(random.Random())
-        reader = Reader(news, self.leases, retries, self.options.zone)
-        primaries = PrimaryFinder(news, self.leases, retries)
-        acknowledger = Acknowledger(news)
-        writer = Writer(self.leases, primaries, acknowledger, retries)
-        transactions = Transactions(
-            self.leases,
-            reader,
-            writer,
-            primaries,
-            acknowledger,
-            retries,
-        )
-        return Executor(
-            self._services.get,
-            Pipeline.from_names(),
-            Runners(self.leases, reader, writer, transactions, retries),
-        )
-
     def _find_password(self, group: str) -> str | None:
         team = group.partition('/')[0].upper().replace('-', '_')
-        variable = _PASSWORD_VARIABLE.format(team)
-        return self.options.environment.get(variable)
+        name = _PASSWORD_VARIABLE.format(team)
+        return self.options.environment.get(name)
 
 
 async def serve(
@@ -174,22 +156,22 @@
     task_status: TaskStatus[Proxy] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Run a proxy until it is cancelled or drained."""
-    async with anyio.create_task_group() as tasks:
+    async with AsyncExitStack() as stack:
         proxy = Proxy(options)
+        stack.push_async_callback(proxy.leases.close)
+        stack.callback(proxy.server.close)
         for name, team in options.teams.items():
             proxy.apply_team(name, team)
-        if options.keepers:
-            tasks.start_soon(proxy.client.run)
-        for extension in options.extensions:
-            tasks.start_soon(extension, proxy)
-        await proxy.server.start(options.host, options.port)
-        logger.bind(event='proxy_started', port=proxy.server.port).info(
-            'proxy listens',
-        )
-        task_status.started(proxy)
-        try:
+        async with anyio.create_task_group() as tasks:
+            _start_helpers(proxy, tasks)
+            await proxy.server.start(options.host, options.port)
+            task_status.started(proxy)
             await proxy.wait_drained()
-        finally:
-            proxy.server.close()
-            await proxy.leases.close()
-        tasks.cancel_scope.cancel()
+            tasks.cancel_scope.cancel()
+
+
+def _start_helpers(proxy: Proxy, tasks: TaskGroup) -> None:
+    if proxy.options.keepers:
+        tasks.start_soon(proxy.client.run)
+    for extension in proxy.options.extensions:
+        tasks.start_soon(extension, proxy)
--- a/catkincrank/reading.py
+++ b/catkincrank/reading.py
@@ -119,7 +119,7 @@
             answer = await leases.execute(
                 lease,
                 request.statement.text,
-                request.parameters,
+                request.params,
             )
         except StatementError:
             await leases.release(lease)
@@ -150,15 +150,15 @@
             await self._news.wait(wanted.group, revision)
             return
         give_up_at = wanted.arrived_at + _AHEAD_LIMIT_S
-        with anyio.CancelScope(deadline=give_up_at) as scope:
+        with anyio.CancelScope(deadline=give_up_at):
             await self._news.wait(wanted.group, revision)
-        if scope.cancelled_caught:
-            raise RequestError(
-                Verdict.NOT_RUN,
-                Reason.TOKEN_AHEAD,
-                'the session token is ahead of all that is known here',
-                retry_after_s=_AHEAD_HINT_S,
-            )
+            return
+        raise RequestError(
+            Verdict.NOT_RUN,
+            Reason.TOKEN_AHEAD,
+            'the session token is ahead of all that is known here',
+            retry_after_s=_AHEAD_HINT_S,
+        )
 
     def _is_ahead(self, wanted: ReadRequest) -> bool:
         history = self._feed.history(wanted.group)
--- a/catkincrank/request.py
+++ b/catkincrank/request.py
@@ -48,7 +48,7 @@
         group: Name of the group, ``team/service``.
         service: Settings of the service in force when it arrived.
         statement: The statement.
-        parameters: Its parameters in text form.
+        params: Its parameters in text form.
         options: The caller's options.
         arrived_at: When it arrived, in seconds.
         access: What it needs of an instance.
@@ -65,7 +65,7 @@
     group: str
     service: Service
     statement: Statement
-    parameters: tuple[str | None, ...]
+    params: tuple[str | None, ...]
     options: OptionValues
     arrived_at: float
     access: Access = Access.WRITE
--- a/catkincrank/session.py
+++ b/catkincrank/session.py
@@ -1,5 +1,7 @@
 """A caller's session: what outlives its statements."""
 
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
 from typing import TYPE_CHECKING, final
 
 import anyio
@@ -107,18 +109,21 @@
             return self.show_token()
         return self.options.show(name)
 
-    def open_scope(self, deadline: float) -> anyio.CancelScope:
-        """Return the scope in which one statement runs."""
+    @contextmanager
+    def limit(self, deadline: float) -> Iterator[None]:
+        """Run a statement until ``deadline`` or a cancellation."""
         self.is_cancelled = False
-        self._scope = anyio.CancelScope(deadline=deadline)
-        return self._scope
-
-    def close_scope(self) -> None:
-        """Note that the statement ended."""
-        self._scope = None
+        with anyio.CancelScope(deadline=deadline) as scope:
+            with ExitStack() as stack:
+                stack.callback(self._leave)
+                self._scope = scope
+                yield
 
     def cancel(self) -> None:
         """Cut off the statement that runs now, if any."""
         if self._scope is not None:
             self.is_cancelled = True
             self._scope.cancel()
+
+    def _leave(self) -> None:
+        self._scope = None
--- a/catkincrank/textvalues.py
+++ b/catkincrank/textvalues.py
@@ -11,7 +11,7 @@
 
 __all__ = ('encode_binary',)
 
-_HEX_PREFIX = '\\x'
+_HEX_PREFIX = r'\x'
 _UNITS = MappingProxyType(
     {'day': 'days', 'days': 'days'},
 )
--- a/catkincrank/transaction.py
+++ b/catkincrank/transaction.py
@@ -153,12 +153,12 @@
         transaction = _find_transaction(session)
         if transaction.status is TransactionStatus.FAILED:
             return await self.roll_back(session)
-        is_committed = False
         try:
             answer = await self._commit(session, transaction, request)
-            is_committed = answer is _COMMITTED
-        finally:
-            self._end(session, is_committed=is_committed)
+        except BaseException:
+            self._end(session, is_committed=False)
+            raise
+        self._end(session, is_committed=answer is _COMMITTED)
         return answer
 
     async def roll_back(self, session: Session) -> Answer:
@@ -215,7 +215,7 @@
         return await self._leases.execute(
             lease,
             request.statement.text,
-            request.parameters,
+            request.params,
         )
 
     async def _start(
--- a/catkincrank/writing.py
+++ b/catkincrank/writing.py
@@ -82,9 +82,10 @@
         lease = await self._primaries.lease(request)
         try:
             await self._keys.create_table(lease)
-        finally:
-            if lease.is_open:
-                await self._leases.release(lease)
+        except StatementError:
+            await self._leases.release(lease)
+            raise
+        await self._leases.release(lease)
 
     async def _run_once(self, session: Session, request: Request) -> Answer:
         lease = await self._primaries.lease(request)
@@ -126,15 +127,15 @@
         return answer, await leases.commit(lease)
 
     async def _run_effect(self, request: Request, lease: Lease) -> Answer:
-        text, parameters = request.statement.text, request.parameters
+        text, params = request.statement.text, request.params
         if not request.fingerprint:
-            return await self._leases.execute(lease, text, parameters)
+            return await self._leases.execute(lease, text, params)
         claim = make_claim(request, request.fingerprint)
         known = await self._keys.claim(lease, claim)
         if known is not None:
             return known
         request.is_doubtful = False
-        answer = await self._leases.execute(lease, text, parameters)
+        answer = await self._leases.execute(lease, text, params)
         await self._keys.record(lease, claim, answer)
         return answer
 
@@ -147,7 +148,7 @@
         answer = await self._leases.execute(
             lease,
             request.statement.text,
-            request.parameters,
+            request.params,
         )
         return answer, await self._leases.commit(lease)
 
