--- a/catkincrank/filters/requestkey.py
+++ b/catkincrank/filters/requestkey.py
@@ -27,6 +27,6 @@
 
 def _digest(request: Request) -> str:
     body = msgspec.msgpack.encode(
-        (request.statement.text, request.parameters),
+        (request.statement.text, request.params),
     )
     return xxhash.xxh3_128_hexdigest(body)
--- a/catkincrank/requestkeys.py
+++ b/catkincrank/requestkeys.py
@@ -28,7 +28,7 @@
 )
 _CLAIM = (
     'INSERT INTO catkincrank_requests (team, key, fingerprint, created_at) '
-    'VALUES ($1, $2, $3, $4) ON CONFLICT (team, key) DO NOTHING'
+    'VALUES ($1, $2, $3, $4) ON CONFLICT DO NOTHING'
 )
 _FIND = (
     'SELECT fingerprint, outcome FROM catkincrank_requests '
