--- a/catkincrank/load/observation.py
+++ b/catkincrank/load/observation.py
@@ -105,7 +105,7 @@
             StatementRan(
                 anyio.current_time(),
                 '{0}/{1}'.format(self._group, seen.endpoint),
-                seen.connection,
+                '{0}/{1}'.format(self._group, seen.connection),
                 request,
                 place,
             ),
