Spread settings between keepers by trees and digests

Nothing carried an accepted change to the fleet. Two readers a zone poll one index row, push each change down a tree of the zone, and all nodes exchange sequence numbers with random peers. The fault matrix (7 faults and their pairs at 5 steps) found that two new processes could confirm each other's stale answer of the store; a node that is still loading now says nothing.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and the figures that the pages quote."""
--- a/catkincrank/relaytree.py
+++ b/catkincrank/relaytree.py
@@ -21,7 +21,8 @@
     """
 
     def weigh(name: str) -> tuple[int, str]:  # noqa: WPS430
-        return xxhash.xxh64_intdigest('{0}\0{1}'.format(key, name)), name
+        pair = '{0}\0{1}'.format(key, name)
+        return xxhash.xxh64_intdigest(pair.encode('utf-8')), name
 
     return tuple(sorted(names, key=weigh))
 
--- a/catkincrank/relaywindow.py
+++ b/catkincrank/relaywindow.py
@@ -10,7 +10,7 @@
 from catkincrank.settingsmessages import SettingsEntry
 from catkincrank.store import Row
 
-__all__ = ('EntryWindow', 'RowCache')
+__all__ = ('EntryWindow', 'RowCache', 'SequenceSet')
 
 _KEPT_ENTRIES = 256
 _KEPT_ROWS = 32
@@ -101,3 +101,22 @@
     def find(self, team: str) -> Row | None:
         """Return the row kept for ``team``, or ``None``."""
         return self._rows.get(team)
+
+
+@final
+class SequenceSet:
+    """The newest numbers added, as many as the window keeps entries."""
+
+    __slots__ = ('_numbers',)
+
+    def __init__(self) -> None:
+        self._numbers: OrderedDict[int, None] = OrderedDict()
+
+    def add(self, number: int) -> bool:
+        """Add ``number``; return whether it was not there."""
+        if number in self._numbers:
+            return False
+        self._numbers[number] = None
+        if len(self._numbers) > _KEPT_ENTRIES:
+            self._numbers.popitem(last=False)
+        return True
--- /dev/null
+++ b/tests/test_faults_settings.py
@@ -0,0 +1,246 @@
+"""Fault matrix of a settings change: each fault, and pairs, at each step."""
+
+import itertools
+import random
+
+import pytest
+
+from benchmarks.relayfleet import Fleet
+from catkincrank.fleetinvariants import check_settings
+from catkincrank.records import (
+    ProcessChanged,
+    ProcessState,
+    RecordedHistory,
+    SettingsAccepted,
+    SettingsInForce,
+)
+
+TEAM = 'sawari'
+ZONES = {'kathmandu': 4, 'biratnagar': 4, 'pokhara': 4}
+FAULT_S = 8
+BOUND_S = 11
+STEPS = ('before', 'announced', 'accepted', 'read', 'spread')
+FAULTS = (
+    'store_down',
+    'store_slow',
+    'store_stale',
+    'reader_dead',
+    'relay_dead',
+    'zone_cut',
+    'restart',
+)
+
+
+class Run:
+    def __init__(self, seed):
+        self.fleet = Fleet(ZONES, seed)
+        self.random = random.Random(seed)
+        self.changes = []
+        self.accepted = []
+        self.incarnations = dict.fromkeys(self.fleet.zone_of, 0)
+        self.killed = []
+        self.accept()
+        for name in self.fleet.zone_of:
+            self.fleet.start(name, (TEAM,))
+        self.fleet.run(8)
+
+    def accept(self):
+        row = self.fleet.accept(TEAM, len(self.accepted) + 1)
+        self.note(row)
+        return row
+
+    def note(self, row):
+        self.accepted.append(
+            SettingsAccepted(self.fleet.now, TEAM, row.version, row.change_id)
+        )
+
+    def break_things(self, fault):
+        faults = self.fleet.faults
+        if fault == 'store_down':
+            faults.store_is_down = True
+        elif fault == 'store_slow':
+            faults.store_delay_s = 3
+        elif fault == 'store_stale':
+            faults.stale_by = 1
+        elif fault == 'zone_cut':
+            faults.cut_zones = {'pokhara'}
+        else:
+            self._kill(fault)
+
+    def mend_things(self):
+        faults = self.fleet.faults
+        faults.store_is_down = False
+        faults.store_delay_s = 0.01
+        faults.stale_by = 0
+        faults.cut_zones = set()
+        for name in sorted(faults.dead):
+            self._restart(name)
+
+    def judge(self):
+        records = [*self.accepted, *self.changes]
+        keys = {row.change_id for row in self.accepted}
+        assert len(keys) == len(self.accepted)
+        change_ids = {row.version: row.change_id for row in self.accepted}
+        for (name, team), held in self.fleet.in_force.items():
+            records.extend(
+                SettingsInForce(
+                    at, self._label(name), team, version, change_ids[version]
+                )
+                for at, version in held
+            )
+        records.extend(self.killed)
+        assert not list(check_settings(RecordedHistory(records)))
+        newest = self.accepted[-1].version
+        assert set(self.fleet.versions(TEAM).values()) == {newest}
+
+    def replace(self, *names):
+        for name in names:
+            self._keep_past(name)
+            self._restart(name)
+
+    def _kill(self, fault):
+        readers = self.fleet.relays['kathmandu-0'].roster.readers
+        others = [
+            name
+            for name in self.fleet.zone_of
+            if name not in readers and name.startswith('kathmandu')
+        ]
+        victims = readers if fault == 'reader_dead' else others
+        if fault == 'restart':
+            victims = tuple(self.fleet.zone_of)
+        for name in victims:
+            self._keep_past(name)
+            self.fleet.faults.dead.add(name)
+        if fault == 'restart':
+            self.fleet.run(0.2)
+            for name in victims:
+                self._restart(name)
+
+    def _keep_past(self, name):
+        now = self.fleet.now
+        held = self.fleet.in_force.pop((name, TEAM), [])
+        label = self._label(name)
+        change_ids = {row.version: row.change_id for row in self.accepted}
+        self.killed.extend(
+            SettingsInForce(at, label, TEAM, version, change_ids[version])
+            for at, version in held
+        )
+        self.killed.append(ProcessChanged(now, label, ProcessState.KILLED))
+        self.incarnations[name] += 1
+
+    def _restart(self, name):
+        self.fleet.faults.dead.discard(name)
+        self.fleet.start(name, (TEAM,))
+        self.changes.append(
+            ProcessChanged(
+                self.fleet.now, self._label(name), ProcessState.STARTED
+            )
+        )
+
+    def _label(self, name):
+        return '{0}#{1}'.format(name, self.incarnations[name])
+
+
+def play(run, step, faults):
+    fleet = run.fleet
+    if step == 'before':
+        for fault in faults:
+            run.break_things(fault)
+        fleet.run(1)
+    number = fleet.table.announce(TEAM, 2)
+    if step == 'announced':
+        for fault in faults:
+            run.break_things(fault)
+    fleet.run(0.3)
+    row = fleet.table.write('settings/sawari', b'{"weight":2}')
+    run.note(row)
+    assert number == len(fleet.table.rows['settings-index'])
+    fleet.push_from_writer(row, TEAM, 'biratnagar-1')
+    if step == 'read':
+        while set(fleet.versions(TEAM).values()) == {1}:
+            fleet.run(0.05)
+    elif step == 'spread':
+        fleet.run(0.002)
+    if step in {'accepted', 'read', 'spread'}:
+        for fault in faults:
+            run.break_things(fault)
+    fleet.run(FAULT_S)
+    run.mend_things()
+    fleet.run(2 * BOUND_S)
+    run.judge()
+
+
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('step', STEPS)
+@pytest.mark.parametrize('fault', FAULTS)
+def test_each_fault_at_each_step(fault, step, seed):
+    play(Run(seed), step, [fault])
+
+
+@pytest.mark.parametrize('step', STEPS)
+@pytest.mark.parametrize('pair', list(itertools.combinations(FAULTS, 2)))
+def test_pairs_of_faults_at_each_step(pair, step):
+    play(Run(7), step, pair)
+
+
+def test_outage_right_after_acceptance_without_the_writers_push():
+    run = Run(1)
+    run.accept()
+    while set(run.fleet.versions(TEAM).values()) == {1}:
+        run.fleet.run(0.01)
+    run.break_things('store_down')
+    run.fleet.run(BOUND_S)
+    run.judge()
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_new_processes_refuse_what_a_stale_store_shows(seed):
+    run = Run(seed)
+    run.accept()
+    run.fleet.run(BOUND_S)
+    run.break_things('store_stale')
+    names = ('kathmandu-2', 'kathmandu-3', 'pokhara-0')
+    run.replace(*names)
+    run.fleet.run(BOUND_S)
+    for name in names:
+        held = run.fleet.in_force[name, TEAM]
+        assert {version for _, version in held} == {2}
+    run.judge()
+
+
+def test_start_from_peers_while_the_store_is_down():
+    run = Run(3)
+    run.break_things('store_down')
+    run.replace('kathmandu-0')
+    run.fleet.run(BOUND_S)
+    run.judge()
+
+
+def test_age_tells_how_long_nothing_was_learnt():
+    run = Run(4)
+    run.break_things('store_down')
+    run.fleet.run(60)
+    ages = [
+        relay.knowledge.book.age(run.fleet.now)
+        for relay in run.fleet.relays.values()
+    ]
+    assert min(ages) >= 60
+    run.mend_things()
+    run.fleet.run(BOUND_S)
+    ages = [
+        relay.knowledge.book.age(run.fleet.now)
+        for relay in run.fleet.relays.values()
+    ]
+    assert max(ages) < BOUND_S
+
+
+def test_refused_change_that_was_announced_is_given_up():
+    run = Run(5)
+    run.fleet.table.announce(TEAM, 2)
+    run.fleet.run(700)
+    relay = run.fleet.relays['kathmandu-1']
+    assert not relay.knowledge.list_unknown()
+    assert set(run.fleet.versions(TEAM).values()) == {1}
+    run.accept()
+    run.fleet.run(BOUND_S)
+    run.judge()
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,195 @@
+import random
+
+import pytest
+
+from catkincrank.relay import Relay
+from catkincrank.relayactions import Enforce, ReadIndex, ReadTeam, Send
+from catkincrank.relayroster import RelayPeer, Roster
+from catkincrank.relaytree import find_children, find_entrances, rank_names
+from catkincrank.relaywindow import EntryWindow
+from catkincrank.settingsmessages import (
+    SettingsDelta,
+    SettingsDigest,
+    SettingsEntry,
+    SettingsPush,
+    SettingsRequest,
+    SettingsUpdate,
+    TeamVersion,
+)
+from catkincrank.store import Row
+
+PEERS = tuple(RelayPeer('n{0}'.format(i), 'kushiro') for i in range(40))
+
+
+def entry(sequence, version=1, *, accepted=False):
+    return SettingsEntry(sequence, 't', version, is_accepted=accepted)
+
+
+def push(sequence, version, *, crosses=False):
+    return SettingsPush(
+        entry(sequence, version, accepted=True),
+        b'{}',
+        'c{0}'.format(version),
+        crosses_zones=crosses,
+    )
+
+
+def make_relay(name='n0', peers=PEERS):
+    relay = Relay(RelayPeer(name, 'kushiro'), random.Random(1))
+    relay.roster.replace(peers)
+    relay.knowledge.serve_teams(('t',), 0)
+    relay.on_message('n1', SettingsUpdate('t', 1, b'{}', 'c1'), 0)
+    relay.on_row('t', Row('settings/t', 1, b'{}', 'c1'), 0)
+    return relay
+
+
+@pytest.mark.parametrize('count', [1, 2, 5, 6, 91])
+def test_tree_reaches_each_name_once(count):
+    names = tuple('n{0}'.format(number) for number in range(count))
+    ranked = rank_names('7', names)
+    reached = [ranked[0]]
+    for name in reached:
+        reached.extend(find_children(ranked, name))
+    assert sorted(reached) == sorted(names)
+    assert set(find_entrances(ranked, ranked[-1])) == set(ranked[:5]) - {
+        ranked[-1]
+    }
+
+
+def test_a_name_that_leaves_moves_no_other():
+    names = {'n{0}'.format(number) for number in range(50)}
+    ranked = rank_names('k', names)
+    left = rank_names('k', names - {ranked[3]})
+    assert left == tuple(name for name in ranked if name != ranked[3])
+
+
+def test_watermark_stops_at_a_hole():
+    window = EntryWindow()
+    assert [window.add(entry(number)) for number in (1, 3, 3)] == [
+        True,
+        True,
+        False,
+    ]
+    assert window.sequence == 1
+    window.add(entry(2))
+    assert window.sequence == 3
+    assert len(window.list_after(1)) == 2
+    assert window.add(entry(2, accepted=True))
+    for number in range(4, 400):
+        window.add(entry(number))
+    assert (window.oldest, window.sequence) == (144, 399)
+
+
+def test_push_is_enforced_and_passed_on_once():
+    relay = make_relay()
+    actions = relay.on_message('n1', push(5, 2), 1)
+    assert [each for each in actions if isinstance(each, Enforce)]
+    assert relay.on_message('n2', push(5, 2), 1) == []
+    older = relay.on_message('n2', push(4, 1), 1)
+    assert not [each for each in older if isinstance(each, Enforce)]
+    assert relay.knowledge.book.version('t') == 2
+
+
+def test_older_versions_are_never_enforced():
+    relay = make_relay()
+    relay.on_message('n1', push(5, 4), 1)
+    actions = [
+        *relay.on_row('t', Row('settings/t', 3, b'{}', 'c3'), 2),
+        *relay.on_message('n1', SettingsUpdate('t', 2, b'{}', 'c2'), 2),
+        *relay.on_message('n1', push(6, 3), 2),
+    ]
+    assert not [each for each in actions if isinstance(each, Enforce)]
+    assert relay.knowledge.book.version('t') == 4
+
+
+def test_delta_leads_to_a_request_at_its_sender():
+    name = next(
+        peer.name
+        for peer in PEERS
+        if not make_relay(peer.name).roster.is_reader
+    )
+    relay = make_relay(name)
+    delta = SettingsDelta(1, 1, 0.5, 2, (entry(1, 2, accepted=True),))
+    sent = relay.on_message('n9', delta, 1)
+    asked = SettingsRequest((TeamVersion('t', 1),))
+    assert Send('n9', asked) in sent
+    assert relay.knowledge.list_unknown() == ['t']
+    relay.on_message('n9', SettingsUpdate('t', 2, b'{}', 'c2'), 1.1)
+    assert relay.knowledge.book.age(1.5) == pytest.approx(3)
+
+
+@pytest.mark.parametrize('age_s', [-1, 2])
+def test_stamp_of_the_future_is_passed_over(age_s):
+    relay = make_relay()
+    delta = SettingsDelta(9, 1, 99, age_s, ())
+    assert relay.on_message('n9', delta, 1) == []
+    assert relay.knowledge.heard_as_of is None
+
+
+def test_only_readers_ask_the_store():
+    readers = {
+        peer.name
+        for peer in PEERS
+        if any(
+            isinstance(action, ReadIndex)
+            for action in make_relay(peer.name).tick(1)
+        )
+    }
+    assert readers == set(make_relay().roster.readers)
+    assert len(readers) == 2
+
+
+def test_reader_reads_what_is_new_and_spreads_it():
+    relay = make_relay(make_relay().roster.readers[0])
+    relay.on_message('n9', SettingsDelta(1, 1, 0, 1, (entry(1, 2),)), 1)
+    assert ReadTeam('t') in relay.tick(3)
+    row = Row('settings/t', 2, b'{}', 'c2')
+    sent = [
+        action
+        for action in relay.on_row('t', row, 3)
+        if isinstance(action, Send)
+    ]
+    assert len(sent) >= 4
+    crossing = relay.on_store_failure(4)
+    assert not crossing
+    assert make_relay().on_store_failure(4) == []
+
+
+def test_push_from_a_writer_crosses_zones():
+    others = tuple(RelayPeer('o{0}'.format(i), 'sapporo') for i in range(5))
+    relay = make_relay(peers=(*PEERS, *others))
+    actions = relay.on_message('writer', push(5, 2, crosses=True), 1)
+    sent = [action for action in actions if isinstance(action, Send)]
+    crossing = [send for send in sent if send.peer.startswith('o')]
+    assert len(crossing) == 1
+    assert crossing[0].message.crosses_zones
+    assert all(
+        not send.message.crosses_zones
+        for send in sent
+        if send.peer.startswith('n')
+    )
+
+
+def test_node_that_is_still_loading_confirms_nothing():
+    relay = Relay(RelayPeer('n0', 'kushiro'), random.Random(1))
+    relay.roster.replace(PEERS)
+    relay.knowledge.serve_teams(('t',), 0)
+    relay.on_row('t', Row('settings/t', 1, b'{}', 'c1'), 0)
+    asked = SettingsRequest((TeamVersion('t', 0),))
+    assert relay.on_message('n1', asked, 1) == []
+
+
+def test_digest_behind_the_senders_is_answered_and_returned():
+    relay = make_relay()
+    answers = relay.on_message('n9', SettingsDigest(7, 1), 1)
+    assert [type(each.message) for each in answers] == [
+        SettingsDelta,
+        SettingsDigest,
+    ]
+
+
+def test_lone_node_needs_no_peer():
+    roster = Roster(PEERS[0], random.Random(1))
+    assert not roster.has_peers
+    assert roster.is_reader
+    assert roster.list_sources('') == ()
