Lease connections from the shared pools of decisions

The data path had a pool of its own for the thin version; it now does the I/O that pool.py asks for, so limits, fair queues, probes and spread reconnects are decided in one place.

--- a/catkincrank/assembly.py
+++ b/catkincrank/assembly.py
@@ -1,10 +1,10 @@
 """Puts the parts that run statements together."""
 
 import random
-from collections.abc import Callable
 
 from catkincrank import acknowledgements, endpoints, filters  # noqa: F401
 from catkincrank.acknowledging import Acknowledger
+from catkincrank.catalog import Catalog
 from catkincrank.executor import Executor, Runners
 from catkincrank.leases import Leases
 from catkincrank.news import News
@@ -12,7 +12,6 @@
 from catkincrank.primary import PrimaryFinder
 from catkincrank.reading import Reader
 from catkincrank.retrying import Retries
-from catkincrank.settings import Service
 from catkincrank.transaction import Transactions
 from catkincrank.writing import Writer
 
@@ -22,7 +21,7 @@
 def assemble_executor(
     news: News,
     leases: Leases,
-    find_service: Callable[[str], Service | None],
+    catalog: Catalog,
     zone: str,
 ) -> Executor:
     """Return an executor with every variant registered.
@@ -30,7 +29,7 @@
     Args:
         news: Evidence about the groups.
         leases: Connections to endpoints.
-        find_service: Returns the settings in force of a group.
+        catalog: Services in force.
         zone: Availability zone of the proxy.
     """
     retries = Retries(random.Random())
@@ -47,7 +46,7 @@
         retries,
     )
     return Executor(
-        find_service,
+        catalog,
         Pipeline.from_names(),
         Runners(leases, reader, writer, transactions, retries),
     )
--- a/catkincrank/executor.py
+++ b/catkincrank/executor.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from catkincrank.catalog import Catalog
 from catkincrank.endpoint import (
     Answer,
     Description,
@@ -19,7 +20,6 @@
 from catkincrank.request import Access, Request
 from catkincrank.retrying import Retries
 from catkincrank.session import Session
-from catkincrank.settings import Service
 from catkincrank.statement import Kind, Statement
 from catkincrank.transaction import Transactions
 from catkincrank.verdict import Reason, RequestError, Verdict
@@ -58,14 +58,14 @@
     """Runs statements of every session of a proxy.
 
     Args:
-        find_service: Returns the settings in force of a group.
+        catalog: Services in force.
         pipeline: Filters that requests pass.
         runners: What runs statements on endpoints.
     """
 
     __slots__ = (
         '_descriptions',
-        '_find_service',
+        '_catalog',
         '_local',
         '_pipeline',
         'runners',
@@ -73,11 +73,11 @@
 
     def __init__(
         self,
-        find_service: Callable[[str], Service | None],
+        catalog: Catalog,
         pipeline: Pipeline,
         runners: Runners,
     ) -> None:
-        self._find_service = find_service
+        self._catalog = catalog
         self._pipeline = pipeline
         self._local = LocalAnswers()
         self._descriptions: OrderedDict[tuple[str, str], Description] = (
@@ -142,7 +142,7 @@
         statement: Statement,
         params: tuple[str | None, ...],
     ) -> Request:
-        service = self._find_service(session.group)
+        service = self._catalog.find(session.group)
         if service is None:
             raise RequestError(
                 Verdict.NOT_RUN,
@@ -159,6 +159,7 @@
                 params,
                 session.options.current,
                 anyio.current_time(),
+                weight=self._catalog.weight(session.group),
             ),
         )
 
@@ -229,13 +230,10 @@
         leases = self.runners.leases
         lease = await self.runners.reader.lease(session, request, set())
         try:
-            found = await lease.connection.describe(request.statement.text)
+            found = await leases.describe(lease, request.statement.text)
         except StatementError:
             await leases.release(lease)
             raise
-        except BaseException:
-            await leases.discard(lease)
-            raise
         await leases.release(lease)
         return found
 
--- a/catkincrank/frontend.py
+++ b/catkincrank/frontend.py
@@ -15,6 +15,7 @@
 from catkincrank.callerconnection import CallerConnection, CallerStream
 from catkincrank.callererrors import convert_error
 from catkincrank.callersession import CallerSession
+from catkincrank.catalog import Catalog
 from catkincrank.errors import OptionError
 from catkincrank.executor import Executor
 from catkincrank.localanswers import REPORTED
@@ -57,7 +58,7 @@
 
     Args:
         executor: Runs their statements.
-        has_service: Whether a group is known.
+        catalog: Services in force.
         find_password: Returns the password of a group's team; ``None`` lets
             everyone in.
     """
@@ -65,7 +66,7 @@
     def __init__(
         self,
         executor: Executor,
-        has_service: Callable[[str], bool],
+        catalog: Catalog,
         find_password: Callable[[str], str | None],
     ) -> None:
         super().__init__(session_factory=_refuse_factory)
@@ -73,7 +74,7 @@
         self.find_password = find_password
         self.is_draining = False
         self._executor = executor
-        self._has_service = has_service
+        self._catalog = catalog
         self._numbers = itertools.count(1)
 
     @property
@@ -163,7 +164,7 @@
     def _admit(self, session: Session, startup: dict[str, str]) -> None:
         if self.is_draining:
             raise _make_drain_error()
-        if not self._has_service(session.group):
+        if session.group not in self._catalog:
             raise RequestError(
                 Verdict.NOT_RUN,
                 Reason.UNKNOWN_SERVICE,
--- /dev/null
+++ b/catkincrank/poolrunner.py
@@ -0,0 +1,241 @@
+"""Does the I/O that a connection pool asks for."""
+
+from collections.abc import Awaitable, Iterable
+from typing import Protocol, final
+
+import anyio
+from anyio.abc import TaskGroup
+from loguru import logger
+
+from catkincrank.endpoint import EndpointConnection, StatementError
+from catkincrank.errors import EndpointError
+from catkincrank.fairness import QueueEntry
+from catkincrank.pool import EndpointPool
+from catkincrank.poolactions import (
+    Close,
+    Grant,
+    Open,
+    PoolAction,
+    Probe,
+    RefusalCause,
+    Refuse,
+)
+from catkincrank.verdict import Reason, RequestError, Verdict
+
+__all__ = ('Connector', 'PoolRunner', 'Ticket')
+
+_CLOSE_LIMIT_S = 1
+_PROBE_LIMIT_S = 0.5
+_PROBE_SQL = 'SELECT 1'
+
+
+class Connector(Protocol):
+    """Opens a connection of one kind to the pool's endpoint."""
+
+    def __call__(self, login: str) -> Awaitable[EndpointConnection]:
+        """Open a connection.
+
+        Raises:
+            EndpointError: The endpoint could not be reached or refused.
+        """
+
+
+@final
+class Ticket:
+    """A request's place in the queue of a pool.
+
+    Args:
+        request_id: Number of the request.
+
+    Attributes:
+        connection_id: Number of the connection granted; 0 until then.
+        refusal: Why none will be.
+    """
+
+    __slots__ = ('_event', 'connection_id', 'refusal', 'request_id')
+
+    def __init__(self, request_id: int) -> None:
+        self.request_id = request_id
+        self.connection_id = 0
+        self.refusal: Refuse | None = None
+        self._event: anyio.Event | None = None
+
+    @property
+    def is_decided(self) -> bool:
+        """Whether the pool has granted or refused."""
+        return self.connection_id != 0 or self.refusal is not None
+
+    async def wait(self) -> None:
+        """Wait until the pool has decided."""
+        if not self.is_decided:
+            self._event = anyio.Event()
+            await self._event.wait()
+
+    def wake(self) -> None:
+        """Note that the pool has decided."""
+        if self._event is not None:
+            self._event.set()
+
+
+@final
+class PoolRunner:
+    """Runs one pool.
+
+    Args:
+        pool: The decisions.
+        connect: Opens connections.
+        tasks: Runs what takes time.
+    """
+
+    __slots__ = ('_connect', '_connections', '_tasks', '_tickets', 'pool')
+
+    def __init__(
+        self,
+        pool: EndpointPool,
+        connect: Connector,
+        tasks: TaskGroup,
+    ) -> None:
+        self.pool = pool
+        self._connect = connect
+        self._tasks = tasks
+        self._connections: dict[int, EndpointConnection] = {}
+        self._tickets: dict[int, Ticket] = {}
+
+    def connection(self, connection_id: int) -> EndpointConnection:
+        """Return a connection that was granted."""
+        return self._connections[connection_id]
+
+    def ask(self, entry: QueueEntry) -> Ticket:
+        """Ask for a connection; it may be granted at once."""
+        ticket = Ticket(entry.request_id)
+        self._tickets[entry.request_id] = ticket
+        self._apply(self.pool.ask(entry, anyio.current_time()))
+        return ticket
+
+    async def wait(self, ticket: Ticket) -> int:
+        """Return the number of the connection once it is granted.
+
+        Raises:
+            RequestError: The pool will not serve the request.
+            EndpointError: The endpoint cannot be reached.
+        """
+        try:
+            await ticket.wait()
+        except BaseException:
+            self._abandon(ticket)
+            raise
+        self._tickets.pop(ticket.request_id)
+        if ticket.refusal is not None:
+            raise _explain(ticket.refusal, self.pool.endpoint)
+        return ticket.connection_id
+
+    def give_back(self, connection_id: int) -> None:
+        """Take back a clean connection."""
+        now = anyio.current_time()
+        self._apply(self.pool.give_back(connection_id, now))
+
+    def discard(self, connection_id: int, *, is_lost: bool) -> None:
+        """Take back a connection that must not serve anyone else."""
+        now = anyio.current_time()
+        self._apply(self.pool.discard(connection_id, now, is_lost=is_lost))
+
+    def change_limit(self, limit: int) -> None:
+        """Change how many connections may be held."""
+        if limit != self.pool.limit:
+            self._apply(self.pool.change_limit(limit, anyio.current_time()))
+
+    def set_leaving(self, *, is_leaving: bool) -> None:
+        """Take no new work, or take it again."""
+        if is_leaving and not self.pool.is_leaving:
+            self._apply(self.pool.leave(anyio.current_time()))
+        elif not is_leaving and self.pool.is_leaving:
+            self.pool.rejoin()
+
+    def tick(self) -> None:
+        """Do what has come due."""
+        self._apply(self.pool.tick(anyio.current_time()))
+
+    async def close(self) -> None:
+        """Close every connection."""
+        for connection in tuple(self._connections.values()):
+            await _close(connection)  # noqa: WPS476
+        self._connections.clear()
+
+    def _abandon(self, ticket: Ticket) -> None:
+        self._tickets.pop(ticket.request_id)
+        if ticket.connection_id:
+            self.give_back(ticket.connection_id)
+        elif ticket.refusal is None:
+            self.pool.cancel(ticket.request_id)
+
+    def _apply(self, actions: Iterable[PoolAction]) -> None:
+        for action in actions:
+            match action:
+                case Grant():
+                    ticket = self._tickets[action.request_id]
+                    ticket.connection_id = action.connection_id
+                    ticket.wake()
+                case Refuse():
+                    ticket = self._tickets[action.request_id]
+                    ticket.refusal = action
+                    ticket.wake()
+                case Open():
+                    self._tasks.start_soon(self._open, action)
+                case Close():
+                    self._tasks.start_soon(self._close, action.connection_id)
+                case Probe():
+                    self._tasks.start_soon(self._probe, action.connection_id)
+
+    async def _open(self, action: Open) -> None:
+        number = action.connection_id
+        try:
+            self._connections[number] = await self._connect(action.login)
+        except EndpointError as error:
+            logger.bind(
+                event='connection_refused',
+                endpoint=self.pool.endpoint,
+                cause=str(error),
+            ).info('an endpoint could not be reached')
+            self._apply(self.pool.open_failed(number, anyio.current_time()))
+            return
+        self._apply(self.pool.opened(number, anyio.current_time()))
+
+    async def _close(self, connection_id: int) -> None:
+        connection = self._connections.pop(connection_id, None)
+        if connection is not None:
+            await _close(connection)
+        self._apply(self.pool.closed(connection_id, anyio.current_time()))
+
+    async def _probe(self, connection_id: int) -> None:
+        is_alive = await _answers(self._connections[connection_id])
+        now = anyio.current_time()
+        self._apply(self.pool.probed(connection_id, now, is_alive=is_alive))
+
+
+async def _answers(connection: EndpointConnection) -> bool:
+    with anyio.move_on_after(_PROBE_LIMIT_S):
+        try:
+            await connection.execute(_PROBE_SQL)
+        except (EndpointError, StatementError):
+            return False
+        return True
+    return False
+
+
+async def _close(connection: EndpointConnection) -> None:
+    with anyio.move_on_after(_CLOSE_LIMIT_S, shield=True):
+        await connection.close()
+
+
+def _explain(refusal: Refuse, endpoint: str) -> Exception:
+    cause = refusal.cause
+    if cause in {RefusalCause.UNREACHABLE, RefusalCause.LEAVING}:
+        reason = '{0}: {1}'.format(endpoint, cause.value)
+        return EndpointError(reason, was_sent=False)
+    is_late = cause is RefusalCause.DEADLINE
+    return RequestError(
+        Verdict.NOT_RUN,
+        Reason.DEADLINE if is_late else Reason.OVERLOADED,
+        cause.value,
+        retry_after_s=refusal.retry_after_s,
+    )
--- a/catkincrank/primary.py
+++ b/catkincrank/primary.py
@@ -7,7 +7,7 @@
 import anyio
 
 from catkincrank.errors import EndpointError
-from catkincrank.leases import Lease, Leases
+from catkincrank.leases import Lease, Leases, LeaseTicket
 from catkincrank.news import News
 from catkincrank.request import Request
 from catkincrank.retrying import Retries
@@ -53,61 +53,80 @@
         Raises:
             RequestError: Too many requests wait already.
         """
-        choice = self._choose(request)
-        if isinstance(choice, Route):
-            lease = self._leases.take_idle(request, choice.endpoint)
-            if lease is not None:
-                return lease
-        if self._waiting[request.group] >= request.service.limits.queue_length:
-            raise RequestError(
-                Verdict.NOT_RUN,
-                Reason.OVERLOADED,
-                'too many requests wait for the primary',
-                retry_after_s=_QUEUE_HINT_S,
-            )
+        ticket = self._ask(request)
+        if ticket is not None and ticket.is_granted:
+            return await ticket.wait()
+        self._check_queue(request)
         with ExitStack() as stack:
             stack.callback(self._waiting.subtract, (request.group,))
             self._waiting[request.group] += 1
-            return await self._wait_for_lease(request)
+            return await self._wait_for_lease(request, ticket)
 
-    async def _wait_for_lease(self, request: Request) -> Lease:
+    def _ask(self, request: Request) -> LeaseTicket | None:
+        choice = self._choose(request)
+        if isinstance(choice, Route):
+            return self._leases.ask(request, choice.endpoint)
+        return None
+
+    def _check_queue(self, request: Request) -> None:
+        limit = request.service.limits.queue_length
+        if self._waiting[request.group] < limit:
+            return
+        raise RequestError(
+            Verdict.NOT_RUN,
+            Reason.OVERLOADED,
+            'too many requests wait for the primary',
+            retry_after_s=_QUEUE_HINT_S,
+        )
+
+    async def _wait_for_lease(
+        self,
+        request: Request,
+        ticket: LeaseTicket | None,
+    ) -> Lease:
         failures = 0
         while True:
             revision = self._feed.revision(request.group)
-            choice = self._choose(request)
-            if not isinstance(choice, Route):
+            if ticket is None:
+                ticket = self._ask(request)
+            if ticket is None:
                 await self._news.wait(request.group, revision)
                 continue
-            try:
-                lease = await self._acquire(request, choice.endpoint)
-            except EndpointError:
-                failures += 1
-                await anyio.sleep(self._retries.delay(failures))
-                continue
+            lease = await self._await_ticket(request, ticket)
             if lease is not None:
                 return lease
+            ticket = None
+            failures += 1
+            await anyio.sleep(self._retries.delay(failures))
 
-    async def _acquire(self, request: Request, endpoint: str) -> Lease | None:
-        """Lease from ``endpoint``; stop when it is not the primary now."""
-        held: list[Lease] = []
+    async def _await_ticket(
+        self,
+        request: Request,
+        ticket: LeaseTicket,
+    ) -> Lease | None:
+        """Lease from an endpoint; stop when it is not the primary now."""
+        outcome = _Outcome()
         try:
             async with anyio.create_task_group() as tasks:
                 scope = tasks.cancel_scope
-                tasks.start_soon(self._watch, request, endpoint, scope)
-                held.append(await self._leases.acquire(request, endpoint))
+                tasks.start_soon(self._watch, request, ticket, scope)
+                await outcome.await_ticket(ticket)
                 scope.cancel()
-        except BaseException as error:
-            for lease in held:
-                await self._leases.discard(lease)  # noqa: WPS476
-            raise _unwrap(error) from None
-        return held[0] if held else None
+        except BaseException:
+            if outcome.lease is not None:
+                await self._leases.release(outcome.lease)
+            raise
+        if outcome.refusal is not None:
+            raise outcome.refusal
+        return outcome.lease
 
     async def _watch(
         self,
         request: Request,
-        endpoint: str,
+        ticket: LeaseTicket,
         scope: anyio.CancelScope,
     ) -> None:
+        endpoint = ticket.member.endpoint.name
         while True:
             revision = self._feed.revision(request.group)
             choice = self._choose(request)
@@ -117,13 +136,26 @@
             await self._news.wait(request.group, revision)
 
     def _choose(self, request: Request) -> object:
-        loads = self._leases.loads(request.group, request.service)
+        loads = self._leases.pools.loads(request.group)
         now = anyio.current_time()
         return choose_write(request.group, self._feed, now, loads)
 
 
-def _unwrap(error: BaseException) -> BaseException:
-    """Return the only error of a group."""
-    while isinstance(error, BaseExceptionGroup) and len(error.exceptions) == 1:
-        error = error.exceptions[0]
-    return error
+@final
+class _Outcome:
+    """What came of a ticket."""
+
+    __slots__ = ('lease', 'refusal')
+
+    def __init__(self) -> None:
+        self.lease: Lease | None = None
+        self.refusal: RequestError | None = None
+
+    async def await_ticket(self, ticket: LeaseTicket) -> None:
+        """Keep the lease or the refusal; neither if the endpoint failed."""
+        try:
+            self.lease = await ticket.wait()
+        except RequestError as refusal:
+            self.refusal = refusal
+        except EndpointError:
+            return
--- a/catkincrank/proxy.py
+++ b/catkincrank/proxy.py
@@ -10,15 +10,17 @@
 from anyio.abc import TaskGroup, TaskStatus
 
 from catkincrank.assembly import assemble_executor
+from catkincrank.catalog import Catalog
 from catkincrank.endpoint import Driver
 from catkincrank.feed import Feed
 from catkincrank.feedclient import FeedClient, KeeperAddress
 from catkincrank.frontend import CallerServer
+from catkincrank.grouppools import GroupPools, PoolsOptions
 from catkincrank.journal import Journal
-from catkincrank.leases import Leases, LeasesOptions
+from catkincrank.leases import Leases
 from catkincrank.messages import Hello
 from catkincrank.news import News
-from catkincrank.settings import Service, Team
+from catkincrank.settings import Team
 
 __all__ = ('Proxy', 'ProxyOptions', 'serve')
 
@@ -63,61 +65,53 @@
 
     Args:
         options: What it is told at its start.
+        tasks: Runs its tasks.
 
     Attributes:
+        catalog: Services in force.
         client: Link to a keeper, which fills ``feed``.
         feed: What it knows of the groups.
         journal: Its decisions.
-        leases: Connections to endpoints.
+        pools: Connections to endpoints.
         server: Its callers.
     """
 
-    def __init__(self, options: ProxyOptions) -> None:
+    def __init__(self, options: ProxyOptions, tasks: TaskGroup) -> None:
         self.options = options
+        self.catalog = Catalog()
         self.feed = Feed()
         self.journal = Journal(options.name)
-        hello = Hello(
-            options.name,
-            options.zone,
-            'proxy',
-            uuid.uuid4().hex,
-        )
+        hello = Hello(options.name, options.zone, 'proxy', uuid.uuid4().hex)
         self.client = FeedClient(hello, options.keepers, self.feed)
-        self._services: dict[str, Service] = {}
-        self._drain_asked = anyio.Event()
-        self.leases = Leases(
-            LeasesOptions(
+        self.pools = GroupPools(
+            PoolsOptions(
                 _APPLICATION.format(options.name),
                 options.zone,
                 options.environment,
                 options.driver,
             ),
+            tasks,
         )
         self.server = CallerServer(
             assemble_executor(
                 News(self.feed, self.client.interest.hurry),
-                self.leases,
-                self._services.get,
+                Leases(self.pools),
+                self.catalog,
                 options.zone,
             ),
-            self._services.__contains__,
+            self.catalog,
             self._find_password,
         )
+        self._drain_asked = anyio.Event()
 
     def apply_team(self, name: str, team: Team | None) -> None:
         """Bring a team's subtree into force; ``None`` removes the team."""
-        prefix = '{0}/'.format(name)
-        services = {} if team is None else team.services
-        wanted = {prefix + key: service for key, service in services.items()}
-        for group in tuple(self._services):
-            if group.startswith(prefix) and group not in wanted:
-                self._services.pop(group)
-                self.client.interest.remove(group)
-        for group, service in wanted.items():
-            self._services[group] = service
-            names = (endpoint.name for endpoint in service.endpoints)
-            self.feed.set_members(group, names)
-            self.client.interest.add(group)
+        for gone in self.catalog.replace(name, team):
+            self.client.interest.remove(gone)
+            self.pools.forget(gone)
+        for group in self.catalog.groups():
+            if group.partition('/')[0] == name:
+                self._apply_group(group)
 
     def request_drain(self) -> list[str]:
         """Begin to drain; return what it waits for."""
@@ -144,6 +138,15 @@
             while self.server.connections:
                 await anyio.sleep(_DRAIN_POLL_S)
 
+    def _apply_group(self, group: str) -> None:
+        service = self.catalog.find(group)
+        if service is None:
+            return
+        names = (endpoint.name for endpoint in service.endpoints)
+        self.feed.set_members(group, names)
+        self.pools.configure(group, service)
+        self.client.interest.add(group)
+
     def _find_password(self, group: str) -> str | None:
         team = group.partition('/')[0].upper().replace('-', '_')
         name = _PASSWORD_VARIABLE.format(team)
@@ -157,20 +160,21 @@
 ) -> None:
     """Run a proxy until it is cancelled or drained."""
     async with AsyncExitStack() as stack:
-        proxy = Proxy(options)
-        stack.push_async_callback(proxy.leases.close)
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        proxy = Proxy(options, tasks)
+        stack.push_async_callback(proxy.pools.close)
         stack.callback(proxy.server.close)
         for name, team in options.teams.items():
             proxy.apply_team(name, team)
-        async with anyio.create_task_group() as tasks:
-            _start_helpers(proxy, tasks)
-            await proxy.server.start(options.host, options.port)
-            task_status.started(proxy)
-            await proxy.wait_drained()
-            tasks.cancel_scope.cancel()
+        _start_helpers(proxy, tasks)
+        await proxy.server.start(options.host, options.port)
+        task_status.started(proxy)
+        await proxy.wait_drained()
+        tasks.cancel_scope.cancel()
 
 
 def _start_helpers(proxy: Proxy, tasks: TaskGroup) -> None:
+    tasks.start_soon(proxy.pools.run)
     if proxy.options.keepers:
         tasks.start_soon(proxy.client.run)
     for extension in proxy.options.extensions:
--- a/catkincrank/reading.py
+++ b/catkincrank/reading.py
@@ -92,7 +92,7 @@
         while True:
             revision = self._feed.revision(request.group)
             wanted = self._describe(session, request, excluded)
-            loads = self._leases.loads(request.group, request.service)
+            loads = self._leases.pools.loads(request.group)
             now = anyio.current_time()
             choice = choose_read(wanted, self._feed, loads, now)
             if isinstance(choice, Lost):
@@ -133,16 +133,14 @@
         request: Request,
         endpoint: str,
     ) -> Lease | None:
-        lease = self._leases.take_idle(request, endpoint)
-        if lease is None:
-            try:
-                lease = await self._leases.acquire(request, endpoint)
-            except EndpointError:
-                return None
+        try:
+            lease = await self._leases.acquire(request, endpoint)
+        except EndpointError:
+            return None
         incarnation = lease.connection.incarnation
         if admits_read(wanted, self._feed, endpoint, incarnation):
             return lease
-        await self._leases.discard(lease)
+        self._leases.discard(lease)
         return None
 
     async def _await_news(self, wanted: ReadRequest, revision: int) -> None:
--- a/catkincrank/request.py
+++ b/catkincrank/request.py
@@ -51,6 +51,7 @@
         params: Its parameters in text form.
         options: The caller's options.
         arrived_at: When it arrived, in seconds.
+        weight: Share of its team against other teams.
         access: What it needs of an instance.
         deadline_at: When it is given up, in seconds.
         max_staleness_s: Greatest age of the data that it may read.
@@ -68,6 +69,7 @@
     params: tuple[str | None, ...]
     options: OptionValues
     arrived_at: float
+    weight: int = 1
     access: Access = Access.WRITE
     deadline_at: float = math.inf
     max_staleness_s: float | None = None
--- a/catkincrank/transaction.py
+++ b/catkincrank/transaction.py
@@ -139,13 +139,12 @@
         if lease is None or not lease.is_open:
             raise _explain_failed()
         try:
-            return await lease.connection.describe(request.statement.text)
+            return await self._leases.describe(lease, request.statement.text)
         except StatementError as error:
             transaction.status = error.transaction
             raise
         except BaseException:
             transaction.status = TransactionStatus.FAILED
-            await self._leases.discard(lease)
             raise
 
     async def commit(self, session: Session, request: Request) -> Answer:
