Test the data path at each step under each fault, in paused time

A group in memory fails a statement at a chosen step: refused, answer lost, silent, read-only. The tables check the verdict, the number of effects and that no connection is handed on dirty.

--- a/catkincrank/requestkeys.py
+++ b/catkincrank/requestkeys.py
@@ -15,7 +15,15 @@
 from catkincrank.leases import Lease, Leases
 from catkincrank.verdict import Reason, RequestError, Verdict
 
-__all__ = ('CREATE_TABLE', 'KeyClaim', 'MissingTableError', 'RequestKeys')
+__all__ = (
+    'CLAIM',
+    'CREATE_TABLE',
+    'FIND',
+    'RECORD',
+    'KeyClaim',
+    'MissingTableError',
+    'RequestKeys',
+)
 
 CREATE_TABLE = (
     'CREATE TABLE IF NOT EXISTS catkincrank_requests ('
@@ -26,15 +34,15 @@
     'created_at bigint NOT NULL, '
     'PRIMARY KEY (team, key))'
 )
-_CLAIM = (
+CLAIM = (
     'INSERT INTO catkincrank_requests (team, key, fingerprint, created_at) '
     'VALUES ($1, $2, $3, $4) ON CONFLICT DO NOTHING'
 )
-_FIND = (
+FIND = (
     'SELECT fingerprint, outcome FROM catkincrank_requests '
     'WHERE team = $1 AND key = $2'
 )
-_RECORD = (
+RECORD = (
     'UPDATE catkincrank_requests SET outcome = $3 WHERE team = $1 AND key = $2'
 )
 _PRUNE = (
@@ -120,7 +128,7 @@
             str(claim.created_at),
         )
         try:
-            answer = await self._leases.execute(lease, _CLAIM, fields)
+            answer = await self._leases.execute(lease, CLAIM, fields)
         except StatementError as error:
             if error.sqlstate == _UNDEFINED_TABLE:
                 raise MissingTableError from None
@@ -138,7 +146,7 @@
         """Store the outcome in the same transaction."""
         await self._leases.execute(
             lease,
-            _RECORD,
+            RECORD,
             (claim.team, claim.key, _encode_outcome(answer)),
         )
 
@@ -155,7 +163,7 @@
     async def _find(self, lease: Lease, claim: KeyClaim) -> Answer:
         answer = await self._leases.execute(
             lease,
-            _FIND,
+            FIND,
             (claim.team, claim.key),
         )
         fingerprint, outcome = answer.rows[0]
--- /dev/null
+++ b/tests/memorygroup.py
@@ -0,0 +1,255 @@
+"""A group of instances in memory whose statements fail on request."""
+
+from contextlib import asynccontextmanager
+
+import anyio
+
+from catkincrank import requestkeys
+from catkincrank.assembly import assemble_executor
+from catkincrank.catalog import Catalog
+from catkincrank.endpoint import (
+    Answer,
+    Column,
+    Description,
+    Driver,
+    EndpointConnection,
+    StatementError,
+    TransactionStatus,
+)
+from catkincrank.errors import EndpointError
+from catkincrank.feed import Feed
+from catkincrank.grouppools import GroupPools, PoolsOptions
+from catkincrank.history import History, LogMark, TermStart
+from catkincrank.instance import InstanceStatus, Observation, Role
+from catkincrank.leases import Leases
+from catkincrank.news import News
+from catkincrank.session import Session
+from catkincrank.settings import Endpoint, Limits, Service, Team
+
+GROUP = 'sawari/ledger'
+NAMES = ('a', 'b', 'c')
+IDLE, OPEN = TransactionStatus.IDLE, TransactionStatus.OPEN
+FAILED = TransactionStatus.FAILED
+STEP_S = 0.001
+
+
+class MemoryGroup(Driver):
+    """Instances that share one log; the first one is primary of term 1.
+
+    Attributes:
+        effects: Writes that were committed, in order.
+        keys: Rows of request keys that were committed.
+        faults: What happens at the next step of each name.
+        steps: Steps that were taken, with the endpoint.
+        has_table: Whether the table of request keys exists.
+        is_acknowledging: Whether replicas report what they receive.
+    """
+
+    def __init__(self):
+        self.feed = Feed()
+        self.feed.set_members(GROUP, NAMES)
+        self.effects = []
+        self.keys = {}
+        self.faults = {}
+        self.steps = []
+        self.open = []
+        self.has_table = True
+        self.is_acknowledging = True
+        self.history = History((TermStart(1, 0),))
+        self.primary = 'a'
+        self.position = 10
+
+    def publish(self, *names):
+        now = anyio.current_time()
+        for name in names or NAMES:
+            is_primary = name == self.primary
+            role = Role.PRIMARY if is_primary else Role.REPLICA
+            status = InstanceStatus(
+                name,
+                'i1',
+                role,
+                self.history,
+                self.position,
+                self.position,
+                '' if is_primary else self.primary,
+            )
+            self.feed.learn(GROUP, Observation(status, now))
+
+    def promote(self, name):
+        """Begin a term on ``name`` with the log as it is."""
+        term = self.history.term + 1
+        self.history = self.history.extend(term, self.position)
+        self.primary = name
+        self.publish()
+
+    async def connect(self, address, credential, application):
+        await self.step('connect', address.endpoint)
+        connection = MemoryConnection(self, address.endpoint)
+        self.open.append(connection)
+        return connection
+
+    async def step(self, name, endpoint):
+        """Take a step, with the fault that was asked for."""
+        self.steps.append((name, endpoint))
+        await anyio.sleep(STEP_S)
+        fault = self.faults.pop(name, None)
+        if fault == 'refuse':
+            raise EndpointError('refused', was_sent=False)
+        if fault == 'lose':
+            raise EndpointError('connection reset', was_sent=True)
+        if fault == 'hang':
+            await anyio.sleep_forever()
+        if fault == 'read-only':
+            raise StatementError('25006', 'read only', {}, FAILED)
+        return fault
+
+
+class MemoryConnection(EndpointConnection):
+    incarnation = 'i1'
+    seal = promote = follow = terminate = None
+
+    def __init__(self, group, endpoint):
+        self.group = group
+        self.endpoint = endpoint
+        self.status = IDLE
+        self.pending = []
+        self.keys = {}
+        self.is_closed = False
+        self.state = set()
+
+    @property
+    def transaction(self):
+        return self.status
+
+    async def execute(self, sql, params=()):
+        assert not self.is_closed
+        word = sql.split()[0].lower()
+        try:
+            await self.group.step(_NAMES.get(sql, word), self.endpoint)
+        except StatementError:
+            if self.status is OPEN:
+                self.status = FAILED
+            raise
+        if self.status is FAILED and word != 'rollback':
+            raise StatementError('25P02', 'aborted', {}, FAILED)
+        return getattr(self, 'do_' + word, self.do_write)(sql, params)
+
+    async def describe(self, sql):
+        await self.group.step('describe', self.endpoint)
+        columns = None if sql.startswith('pay') else (Column('n', 20),)
+        return Description((), columns)
+
+    async def commit(self):
+        fault = await self.group.step('commit', self.endpoint)
+        if self.status is FAILED:
+            self.end()
+            return None
+        if fault == 'lose-before':
+            raise EndpointError('connection reset', was_sent=True)
+        self.group.effects.extend(self.pending)
+        self.group.keys.update(self.keys)
+        self.group.position += len(self.pending)
+        self.end()
+        mark = LogMark(self.group.history.term, self.group.position)
+        if self.group.is_acknowledging:
+            self.group.publish()
+        if fault == 'lose-after':
+            raise EndpointError('connection reset', was_sent=True)
+        return mark
+
+    async def fetch_status(self):
+        raise NotImplementedError
+
+    async def close(self):
+        self.is_closed = True
+        self.end()
+        self.group.open.remove(self)
+
+    def end(self):
+        self.status = IDLE
+        self.pending = []
+        self.keys = {}
+
+    def answer(self, command, rows=None):
+        columns = None if rows is None else (Column('n', 20),)
+        return Answer(command, columns, rows or (), self.status)
+
+    def do_begin(self, sql, params):
+        self.status = OPEN
+        return self.answer('BEGIN')
+
+    def do_rollback(self, sql, params):
+        self.end()
+        return self.answer('ROLLBACK')
+
+    def do_discard(self, sql, params):
+        self.state.clear()
+        return self.answer('DISCARD ALL')
+
+    def do_set(self, sql, params):
+        self.state.add(sql)
+        return self.answer('SET')
+
+    def do_create(self, sql, params):
+        self.group.has_table = True
+        return self.answer('CREATE TABLE')
+
+    def do_insert(self, sql, params):
+        if not self.group.has_table:
+            self.status = FAILED
+            raise StatementError('42P01', 'no table', {}, FAILED)
+        key = params[:2]
+        if key in self.group.keys:
+            return self.answer('INSERT 0 0')
+        self.keys[key] = [params[2], None]
+        return self.answer('INSERT 0 1')
+
+    def do_update(self, sql, params):
+        self.keys[params[:2]][1] = params[2]
+        return self.answer('UPDATE 1')
+
+    def do_select(self, sql, params):
+        if sql == requestkeys.FIND:
+            return self.answer('SELECT 1', (tuple(self.group.keys[params]),))
+        count = len(self.group.effects) + len(self.pending)
+        return self.answer('SELECT 1', ((str(count),),))
+
+    def do_write(self, sql, params):
+        self.pending.append(sql)
+        return self.answer('UPDATE 1')
+
+
+_NAMES = {
+    requestkeys.CLAIM: 'claim',
+    requestkeys.FIND: 'find',
+    requestkeys.RECORD: 'record',
+}
+
+
+@asynccontextmanager
+async def serve_group(**limits):
+    """Yield a group and an executor in front of it."""
+    group = MemoryGroup()
+    endpoints = tuple(Endpoint(name, 'z1', name, 1) for name in NAMES)
+    service = Service(endpoints, limits=Limits(**{'proxies': 4, **limits}))
+    catalog = Catalog()
+    catalog.replace('sawari', Team({'ledger': service}))
+    async with anyio.create_task_group() as tasks:
+        pools = GroupPools(PoolsOptions('p1', 'z1', {}, group), tasks)
+        pools.configure(GROUP, service)
+        tasks.start_soon(pools.run)
+        group.publish()
+        group.pools = pools
+        yield (
+            group,
+            assemble_executor(News(group.feed), Leases(pools), catalog, 'z1'),
+        )
+        tasks.cancel_scope.cancel()
+
+
+def open_session(**options):
+    """Return a session with options set."""
+    session = Session(GROUP)
+    for name, text in options.items():
+        session.assign('catkincrank.{0}'.format(name), text)
+    return session
--- /dev/null
+++ b/tests/test_executor.py
@@ -0,0 +1,336 @@
+from functools import partial
+
+import anyio
+import pytest
+
+from catkincrank.endpoint import StatementError
+from catkincrank.history import LogMark
+from catkincrank.statement import classify
+from catkincrank.verdict import RequestError
+from tests import virtualtime
+from tests.memorygroup import GROUP, IDLE, OPEN, open_session, serve_group
+
+PAY = 'pay 1'
+RAN, NOT_RUN, MAYBE = 'ran', 'not run', 'may have run'
+
+
+async def submit(executor, session, *texts):
+    """Run statements and return the verdict, or the last answer's tag."""
+    try:
+        for sql in texts:
+            answer = await executor.run(session, classify(sql))
+    except RequestError as error:
+        return error.verdict.value
+    except StatementError as error:
+        return error.sqlstate
+    return answer.command
+
+
+def play(scenario, **limits):
+    """Run a scenario in virtual time; the executor closes its session."""
+
+    async def run():
+        async with serve_group(**limits) as (group, executor):
+            await scenario(group, executor)
+
+    virtualtime.run(run)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'outcome', 'effects'),
+    [
+        ({}, 'UPDATE 1', 1),
+        ({'connect': 'refuse'}, 'UPDATE 1', 1),
+        ({'begin': 'refuse'}, 'UPDATE 1', 1),
+        ({'begin': 'lose'}, 'UPDATE 1', 1),
+        ({'begin': 'read-only'}, 'UPDATE 1', 1),
+        ({'begin': 'hang'}, NOT_RUN, 0),
+        ({'pay': 'lose'}, 'UPDATE 1', 1),
+        ({'pay': 'read-only'}, 'UPDATE 1', 1),
+        ({'pay': 'hang'}, NOT_RUN, 0),
+        ({'commit': 'refuse'}, 'UPDATE 1', 1),
+        ({'commit': 'read-only'}, 'UPDATE 1', 1),
+        ({'commit': 'lose'}, MAYBE, 0),
+        ({'commit': 'lose-before'}, MAYBE, 0),
+        ({'commit': 'lose-after'}, MAYBE, 1),
+        ({'commit': 'hang'}, MAYBE, 0),
+    ],
+)
+@pytest.mark.parametrize('key', ['', 'k1'])
+def test_write_under_fault(fault, outcome, effects, key):
+    """A key turns every doubt but a hang into one certain effect."""
+    if key and 'commit' in fault and fault['commit'] != 'hang':
+        outcome, effects = 'UPDATE 1', 1
+
+    async def scenario(group, executor):
+        group.faults = dict(fault)
+        session = open_session(request_key=key, deadline='5s')
+        assert await submit(executor, session, PAY) == outcome
+        assert len(group.effects) == effects
+        await anyio.sleep(1)
+        assert all(one.status is IDLE for one in group.open)
+        if outcome == 'UPDATE 1':
+            assert session.mark == LogMark(1, group.position)
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'verdict'),
+    [
+        ({'begin': 'lose'}, NOT_RUN),
+        ({'pay': 'lose'}, NOT_RUN),
+        ({'commit': 'lose-after'}, MAYBE),
+    ],
+)
+def test_not_idempotent_write_is_sent_once(fault, verdict):
+    async def scenario(group, executor):
+        group.faults = dict(fault)
+        session = open_session(idempotent='off')
+        assert await submit(executor, session, PAY) == verdict
+        assert sum(step == 'begin' for step, _ in group.steps) == 1
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ('step', 'fault', 'outcome', 'effects'),
+    [
+        ('begin', 'lose', 'COMMIT', 2),
+        ('pay', 'lose', 'COMMIT', 2),
+        ('pay', 'hang', NOT_RUN, 0),
+        ('add', 'lose', NOT_RUN, 0),
+        ('add', 'hang', NOT_RUN, 0),
+        ('commit', 'refuse', NOT_RUN, 0),
+        ('commit', 'lose-before', MAYBE, 0),
+        ('commit', 'lose-after', MAYBE, 2),
+        ('commit', 'hang', MAYBE, 0),
+    ],
+)
+def test_transaction_under_fault(step, fault, outcome, effects):
+    async def scenario(group, executor):
+        group.faults = {step: fault}
+        session = open_session(deadline='5s')
+        texts = ('begin', PAY, 'add 2', 'commit')
+        assert await submit(executor, session, *texts) == outcome
+        assert len(group.effects) == effects
+        assert await submit(executor, session, 'rollback') == 'ROLLBACK'
+        assert session.status is IDLE
+        await anyio.sleep(1)
+        assert all(one.status is IDLE for one in group.open)
+
+    play(scenario)
+
+
+def test_failed_transaction_commits_nothing():
+    async def scenario(group, executor):
+        session = open_session()
+        group.faults = {'add': 'read-only'}
+        assert await submit(executor, session, 'begin', PAY, 'add 2') == '25006'
+        assert await submit(executor, session, PAY) == '25P02'
+        assert await submit(executor, session, 'commit') == 'ROLLBACK'
+        assert group.effects == []
+
+    play(scenario)
+
+
+@pytest.mark.parametrize('begin', ['', 'begin'])
+def test_second_submission(begin):
+    async def scenario(group, executor):
+        group.has_table = False
+        texts = [begin, PAY, 'commit'] if begin else [PAY]
+        for outcome in (texts[-1] == PAY and 'UPDATE 1' or 'COMMIT', RAN):
+            session = open_session(request_key='k1')
+            if not begin:
+                outcome = 'UPDATE 1'
+            assert await submit(executor, session, *texts) == outcome
+            await executor.close(session)
+        assert group.effects == [PAY]
+        session = open_session(request_key='k1')
+        assert await submit(executor, session, 'pay 2') == NOT_RUN
+
+    play(scenario)
+
+
+async def _replace_primary(group, executor, session):
+    group.is_acknowledging = False
+    async with anyio.create_task_group() as tasks:
+        outcomes = []
+
+        async def pay():
+            outcomes.append(await submit(executor, session, PAY))
+
+        tasks.start_soon(pay)
+        await anyio.sleep(1)
+        group.position -= 1
+        group.effects.clear()
+        group.keys.clear()
+        group.is_acknowledging = True
+        group.promote('b')
+    return outcomes[0]
+
+
+@pytest.mark.parametrize(
+    ('key', 'outcome', 'effects'),
+    [('', MAYBE, 0), ('k1', 'UPDATE 1', 1)],
+)
+def test_commit_of_replaced_primary(key, outcome, effects):
+    async def scenario(group, executor):
+        session = open_session(request_key=key)
+        began = anyio.current_time()
+        assert await _replace_primary(group, executor, session) == outcome
+        assert anyio.current_time() - began < 2
+        assert len(group.effects) == effects
+
+    play(scenario)
+
+
+def test_lost_history_is_told():
+    async def scenario(group, executor):
+        session = open_session()
+        await submit(executor, session, PAY)
+        group.position -= 1
+        group.promote('b')
+        with pytest.raises(RequestError) as caught:
+            await executor.run(session, classify('select 1'))
+        assert caught.value.sqlstate == '72000'
+
+    play(scenario)
+
+
+def test_writes_wait_for_a_primary():
+    async def scenario(group, executor):
+        sessions = [open_session(deadline='20s') for _ in range(4)]
+        group.faults = {'connect': 'refuse'}
+        group.primary = ''
+        group.history = group.history.extend(2, group.position)
+        group.publish()
+        outcomes = []
+
+        async def pay(session):
+            outcomes.append(await submit(executor, session, PAY))
+
+        async with anyio.create_task_group() as tasks:
+            for session in sessions:
+                tasks.start_soon(pay, session)
+            await anyio.sleep(5)
+            assert outcomes.count(NOT_RUN) == 1
+            group.promote('c')
+        assert outcomes.count('UPDATE 1') == 3
+        assert len(group.effects) == 3
+
+    play(scenario, queue_length=3)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'outcome'),
+    [
+        ({'select': 'refuse'}, 'SELECT 1'),
+        ({'select': 'lose'}, 'SELECT 1'),
+        ({'select': 'hang'}, NOT_RUN),
+        ({'connect': 'refuse'}, 'SELECT 1'),
+    ],
+)
+def test_read_under_fault(fault, outcome):
+    async def scenario(group, executor):
+        group.faults = dict(fault)
+        session = open_session(max_staleness='5s', deadline='2s')
+        assert await submit(executor, session, 'select 1') == outcome
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ('staleness', 'expected'),
+    [('0', {'a'}), ('own_writes', {'b', 'c'})],
+)
+def test_reads_are_routed(staleness, expected):
+    async def scenario(group, executor):
+        session = open_session(max_staleness=staleness)
+        await submit(executor, session, PAY)
+        await submit(executor, session, 'select 1')
+        used = {name for step, name in group.steps if step == 'select'}
+        assert used <= expected
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ('texts', 'verdict'),
+    [([PAY], NOT_RUN), (['begin', 'select 1', PAY], NOT_RUN)],
+)
+def test_caller_goes_away(texts, verdict):
+    """The connection of a caller that is gone serves nobody else."""
+
+    async def scenario(group, executor):
+        session = open_session()
+        group.faults = {'pay': 'hang'}
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_cancel_later, session)
+            assert await submit(executor, session, *texts) == verdict
+        await executor.close(session)
+        await anyio.sleep(1)
+        assert group.open == []
+        assert await submit(executor, open_session(), PAY) == 'UPDATE 1'
+
+    play(scenario)
+
+
+async def _cancel_later(session):
+    await anyio.sleep(1)
+    session.cancel()
+
+
+@pytest.mark.parametrize(
+    ('texts', 'is_reset'),
+    [
+        (['begin', 'select 1', 'commit'], False),
+        (['begin', 'create temp table t (a int)', 'commit'], True),
+        (['set search_path = x', 'select 1'], True),
+    ],
+)
+def test_session_state_is_not_handed_on(texts, is_reset):
+    async def scenario(group, executor):
+        session = open_session()
+        await submit(executor, session, *texts)
+        assert all(not one.state for one in group.open)
+        assert ('discard' in {step for step, _ in group.steps}) is is_reset
+
+    play(scenario)
+
+
+def test_setting_is_repeated_on_each_connection():
+    async def scenario(group, executor):
+        session = open_session()
+        sql = 'set search_path = x'
+        await submit(executor, session, sql, PAY, 'select 1')
+        assert sum(step == 'set' for step, _ in group.steps) == 3
+        await submit(executor, session, 'reset all', PAY)
+        assert sum(step == 'set' for step, _ in group.steps) == 3
+
+    play(scenario)
+
+
+def test_connections_stay_within_the_limit():
+    async def scenario(group, executor):
+        run = partial(submit, executor)
+        async with anyio.create_task_group() as tasks:
+            for _ in range(20):
+                tasks.start_soon(run, open_session(), PAY)
+        assert len(group.effects) == 20
+        assert len(group.open) <= 4
+
+    play(scenario)
+
+
+def test_token_from_the_future():
+    async def scenario(group, executor):
+        session = open_session()
+        session.advance(LogMark(9, 1))
+        with pytest.raises(RequestError) as caught:
+            await executor.run(session, classify('select 1'))
+        assert caught.value.sqlstate == '72001'
+        assert session.group == GROUP
+        assert session.status is not OPEN
+
+    play(scenario)
