--- a/catkincrank/standins/dialect.py
+++ b/catkincrank/standins/dialect.py
@@ -70,7 +70,9 @@
         tree = sqlglot.parse_one(_name_parameters(sql), dialect='postgres')
     except sqlglot.errors.SqlglotError as error:
         raise PgError(_SYNTAX_ERROR, str(error).splitlines()[0]) from None
-    kind = _classify(tree)
+    kind = Kind.WRITE
+    if isinstance(tree, exp.Query):
+        kind = Kind.LOCKING_READ if tree.args.get('locks') else Kind.READ
     tree.set('locks', [])
     if isinstance(tree, exp.Create):
         _drop_null_order(tree)
@@ -93,12 +95,6 @@
     return ':{0}'.format(_NAMED.format(match.group(1)))
 
 
-def _classify(tree: exp.Expression) -> Kind:
-    if not isinstance(tree, exp.Query):
-        return Kind.WRITE
-    return Kind.LOCKING_READ if tree.args.get('locks') else Kind.READ
-
-
 def _drop_null_order(tree: exp.Expression) -> None:
     """Leave the order of nulls in an index to the engine."""
     for ordered in tree.find_all(exp.Ordered):
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -2,13 +2,13 @@
 
 import pytest
 
+from catkincrank.errors import OptionError
 from catkincrank.load import workload
 from catkincrank.load.observation import GroupObserver, ReadCounts
 from catkincrank.load.outcome import Outcome
 from catkincrank.load.profile import Workload, list_profiles, load_profile
 from catkincrank.load.schedule import Arrival, Operation, draw_arrivals
 from catkincrank.load.summary import find_gap, measure_latency
-from catkincrank.errors import OptionError
 from catkincrank.records import RecordedHistory, StatementRan
 from catkincrank.standins.observer import StatementSeen
 from catkincrank.verdict import Verdict
