Give the model's connections a number

Cause: the stand-in's sessions now report what they run by the number of their connection, which the in-memory model did not have; seven of its tests failed. Change: the model counts its connections; the gap test's expected values follow the function's definition, in which the first success after the window counts.

--- a/catkincrank/standins/modelserver.py
+++ b/catkincrank/standins/modelserver.py
@@ -1,5 +1,6 @@
 """The instance's end of the connections of a model group."""
 
+import itertools
 from collections.abc import Callable
 from typing import Any, Protocol, final
 
@@ -24,6 +25,7 @@
 _KEEPER_PREFIX = 'catkincrank-keeper'
 _COMMIT = 'COMMIT'
 _FAILED = b'E'
+_numbers = itertools.count(1)
 _IDLE = b'I'
 _OPEN = b'T'
 _IN_FAILED = '25P02'
@@ -126,6 +128,7 @@
     """
 
     def __init__(self, instance: StandinInstance) -> None:
+        self.pid = next(_numbers)
         self.tx_status = _IDLE
         self.busy = anyio.Lock()
         self._instance = instance
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -12,6 +12,7 @@
 from catkincrank.records import RecordedHistory, StatementRan
 from catkincrank.standins.observer import StatementSeen
 from catkincrank.verdict import Verdict
+from tests import virtualtime
 
 WORKLOAD = Workload(duration_s=50, rate=100, sessions=10)
 
@@ -45,7 +46,8 @@
     ('times', 'expected'),
     [
         ((1, 2, 6, 7), 4),
-        ((1, 2.5, 9, 20), 6.5),
+        ((1, 2.5, 9, 17, 18), 8),
+        ((1, 2.5, 9, 12, 20), 8),
         ((1, 20), 19),
         ((1,), math.inf),
         ((20,), math.inf),
@@ -70,6 +72,10 @@
 
 
 def test_observed_places():
+    virtualtime.run(check_places)
+
+
+async def check_places():
     history, reads = RecordedHistory(), ReadCounts()
     observer = GroupObserver('t/s', history, reads)
     first, second = workload.name_request(1), workload.name_request(2)
