--- a/catkincrank/acknowledgement.py
+++ b/catkincrank/acknowledgement.py
@@ -2,7 +2,7 @@
 
 import enum
 from abc import ABC, abstractmethod
-from typing import final
+from typing import ClassVar, final
 
 from catkincrank.feed import Feed
 from catkincrank.history import LogMark
@@ -25,7 +25,17 @@
 
 
 class Acknowledgement(ABC):
-    """A policy on when a committed write may be acknowledged."""
+    """A policy on when a committed write may be acknowledged.
+
+    Attributes:
+        outlives_primary: Whether an acknowledged write survives the loss of
+            its primary.
+        promotion_delay_s: Time that a failover of the service must wait
+            between sealing a majority and promoting, in seconds.
+    """
+
+    outlives_primary: ClassVar[bool] = True
+    promotion_delay_s: ClassVar[float] = 0
 
     @abstractmethod
     def check(
--- a/tests/test_acknowledgement.py
+++ b/tests/test_acknowledgement.py
@@ -10,8 +10,8 @@
 THIRD = SECOND.extend(3, 120)
 
 
-def check(feed, mark):
-    return acknowledgements.find('replica')().check(GROUP, mark, feed, 0)
+def check(feed, mark, policy='replica', now=0):
+    return acknowledgements.find(policy)().check(GROUP, mark, feed, now)
 
 
 @pytest.mark.parametrize(
@@ -82,3 +82,45 @@
     feed = make_feed(observe('b', 1, 60))
     feed.set_members(GROUP, ())
     assert check(feed, LogMark(1, 60)) is Standing.PENDING
+
+
+@pytest.mark.parametrize(
+    ('observations', 'now', 'standing'),
+    [
+        ([], 10, Standing.PENDING),
+        ([observe('a', 10, 60)], 10, Standing.PENDING),
+        ([observe('a', 10, 60), observe('b', 9.5, 1)], 10, Standing.CONFIRMED),
+        # Seen, but too long ago for the moment of the answer.
+        ([observe('a', 10, 60), observe('b', 9, 1)], 10, Standing.PENDING),
+        ([observe('a', 10, 60), observe('b', 9.5, 1)], 99, Standing.PENDING),
+        # A promise does not count, and takes nothing from what was seen.
+        (
+            [observe('a', 10, 60), observe('b', 10, 1, sealed=SEALED)],
+            10,
+            Standing.PENDING,
+        ),
+        # A replica has stored it: time does not matter.
+        ([observe('a', 1, 60), observe('b', 1, 60)], 99, Standing.CONFIRMED),
+        # A later term is known to have begun.
+        (
+            [
+                observe('a', 10, 60),
+                observe('b', 10, 1),
+                observe('c', 10, 100, SECOND, role=Role.PRIMARY),
+            ],
+            10,
+            Standing.PENDING,
+        ),
+    ],
+)
+def test_bounded(observations, now, standing):
+    feed = make_feed(*observations)
+    assert check(feed, LogMark(1, 60), 'bounded', now) is standing
+
+
+def test_promotion_outwaits_what_was_trusted():
+    policy = acknowledgements.find('bounded')
+    feed = make_feed(observe('a', 0, 60), observe('b', 0, 1))
+    drifting = policy.promotion_delay_s / 1.01
+    assert check(feed, LogMark(1, 60), 'bounded', drifting) is Standing.PENDING
+    assert acknowledgements.find('replica').promotion_delay_s == 0
