--- /dev/null
+++ b/catkincrank/acknowledging.py
@@ -0,0 +1,60 @@
+"""Waits until a committed write may be acknowledged."""
+
+from typing import final
+
+import anyio
+
+from catkincrank.acknowledgement import Standing
+from catkincrank.history import LogMark
+from catkincrank.news import News
+from catkincrank.request import Request
+from catkincrank.verdict import Reason, RequestError, Verdict
+
+__all__ = ('Acknowledger',)
+
+
+@final
+class Acknowledger:
+    """Applies acknowledgement policies to commits.
+
+    Args:
+        news: Evidence about the groups, and a way to wait for more.
+    """
+
+    __slots__ = ('_feed', '_news')
+
+    def __init__(self, news: News) -> None:
+        self._news = news
+        self._feed = news.feed
+
+    async def confirm(self, request: Request, mark: LogMark | None) -> None:
+        """Return once the write that ended at ``mark`` is confirmed.
+
+        Raises:
+            RequestError: Its primary was replaced and the history that
+                followed lacks the write.
+        """
+        policy = request.acknowledgement
+        if policy is None:
+            raise _explain('no acknowledgement policy was chosen')
+        if mark is None:
+            raise _explain('the endpoint named no position for the commit')
+        while True:
+            revision = self._feed.revision(request.group)
+            now = anyio.current_time()
+            standing = policy.check(request.group, mark, self._feed, now)
+            if standing is Standing.CONFIRMED:
+                return
+            if standing is Standing.REPLACED:
+                raise _explain(
+                    'the primary was replaced before a replica had the commit'
+                )
+            await self._news.wait(request.group, revision)
+
+
+def _explain(cause: str) -> RequestError:
+    return RequestError(
+        Verdict.MAY_HAVE_RUN,
+        Reason.OUTCOME_UNKNOWN,
+        'the outcome is not known: {0}'.format(cause),
+    )
