Let a trial outlive a crashed process

Cause: a process that ended by an error took the whole deployment with it, and a group without a primary broke the judgement. Change: crashes are listed in the result and make the trial fail; the effects are read from the newest primary, or without one from the fullest replica. Conclusion: a trial always ends with a result.

--- a/catkincrank/load/judgement.py
+++ b/catkincrank/load/judgement.py
@@ -3,6 +3,8 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
+from catkincrank.history import LogMark
+from catkincrank.instance import Role
 from catkincrank.invariants import Violation, check_history
 from catkincrank.load.workload import LIST_EFFECTS
 from catkincrank.records import (
@@ -11,6 +13,7 @@
     RequestAnswered,
 )
 from catkincrank.standins.group import StandinGroup
+from catkincrank.standins.instance import StandinInstance
 from catkincrank.verdict import Verdict
 
 __all__ = ('count_violations', 'judge', 'record_effects')
@@ -25,12 +28,8 @@
     """Record each effect that the surviving logs hold."""
     submissions = _list_submissions(history)
     for group in groups:
-        primary = next(
-            instance
-            for instance in group.instances()
-            if instance.name == group.primary
-        )
-        for row in primary.database.read(LIST_EFFECTS, {}):
+        survivor = max(group.instances(), key=_rank)
+        for row in survivor.database.read(LIST_EFFECTS, {}):
             tag, item, version = row
             history.add(
                 EffectFound(
@@ -42,6 +41,12 @@
             )
 
 
+def _rank(instance: StandinInstance) -> tuple[bool, LogMark]:
+    """Prefer the newest primary; without one, the fullest replica."""
+    is_primary = instance.role is Role.PRIMARY and instance.is_serving
+    return is_primary, instance.log.mark
+
+
 def judge(history: RecordedHistory) -> dict[str, list[Violation]]:
     """Return the violations of each promise."""
     return check_history(history)
--- a/catkincrank/load/trial.py
+++ b/catkincrank/load/trial.py
@@ -53,6 +53,7 @@
         failover_gap_s: Gap in served writes around each lost primary.
         invariants_broken: Violations of each promise.
         errors: Most frequent errors of submissions, with counts.
+        crashes: Processes that ended by an error.
         refused_not_run: Answers with the verdict "not run".
         may_have_run: Answers with the verdict "may have run".
         load: Further figures of the load.
@@ -67,14 +68,15 @@
     failover_gap_s: list[float]
     invariants_broken: dict[str, int]
     errors: dict[str, int]
+    crashes: list[str]
     refused_not_run: int
     may_have_run: int
     load: LoadFigures
 
     @property
     def is_clean(self) -> bool:
-        """Whether every promise held."""
-        return not any(self.invariants_broken.values())
+        """Whether every promise held and no process crashed."""
+        return not (self.crashes or any(self.invariants_broken.values()))
 
 
 @final
@@ -92,6 +94,7 @@
         reads: Callers' reads by where they ran.
         steps: Fault steps and when they were taken, from the start.
         violations: Broken promises.
+        crashes: Processes that ended by an error.
     """
 
     name: str
@@ -103,6 +106,7 @@
     reads: ReadCounts = field(default_factory=ReadCounts)
     steps: list[tuple[float, FaultStep]] = field(default_factory=list)
     violations: dict[str, list[Violation]] = field(default_factory=dict)
+    crashes: list[str] = field(default_factory=list)
 
 
 async def run_trial(trial: Trial) -> TrialResult:
@@ -119,6 +123,7 @@
         seconds = await _run_load(trial, deployment, script)
         await anyio.sleep(_SETTLE_S)
         record_effects(trial.history, deployment.groups.values())
+        trial.crashes = deployment.crashes
     trial.violations = judge(trial.history)
     return _make_result(trial, seconds)
 
@@ -208,6 +213,7 @@
         list_gaps(trial),
         count_violations(trial.violations),
         dict(trial.tally.errors.most_common(_SHOWN_ERRORS)),
+        trial.crashes,
         figures.refused_not_run,
         figures.may_have_run,
         figures,
--- a/catkincrank/standins/deployment.py
+++ b/catkincrank/standins/deployment.py
@@ -13,6 +13,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
+from loguru import logger
 
 from catkincrank import keeper as keepers
 from catkincrank import proxy as proxies
@@ -46,6 +47,7 @@
         observe: Returns what takes the reports of a group's instances.
 
     Attributes:
+        crashes: Processes that ended by an error, and the error.
         groups: Stand-in groups by ``team/service``.
         keepers: Keepers by name.
         platform: The platform.
@@ -64,6 +66,7 @@
         self.keepers: dict[str, Keeper] = {}
         self.proxies: dict[str, Proxy] = {}
         self.team = Team()
+        self.crashes: list[str] = []
         self.wires: dict[tuple[str, str, str], Wire] = {}
         self._observe = observe
         self._caller_wires: dict[str, Wire] = {}
@@ -254,20 +257,26 @@
         serve: Callable[..., object],
         options: object,
     ) -> object:
+        return await tasks.start(self._serve, name, serve, options)
+
+    async def _serve(
+        self,
+        name: str,
+        serve: Callable[..., object],
+        options: object,
+        *,
+        task_status: object,
+    ) -> None:
         scope = anyio.CancelScope()
         self._scopes[name] = scope
-        return await tasks.start(_serve_in_scope, scope, serve, options)
-
-
-async def _serve_in_scope(
-    scope: anyio.CancelScope,
-    serve: Callable[..., object],
-    options: object,
-    *,
-    task_status: object,
-) -> None:
-    with scope:
-        await serve(options, task_status=task_status)
+        try:
+            with scope:
+                await serve(options, task_status=task_status)
+        except Exception as error:
+            self.crashes.append('{0}: {1!r}'.format(name, error))
+            logger.bind(event='process_crashed', process=name).exception(
+                'a process of the deployment ended by an error',
+            )
 
 
 def _pick_port() -> int:
