--- a/catkincrank/commands/settings.py
+++ b/catkincrank/commands/settings.py
@@ -16,7 +16,6 @@
     StoreFlag,
     TeamArgument,
 )
-from catkincrank.commands.platform import open_store
 from catkincrank.credentials import (
     TeamCredential,
     authorize,
@@ -31,6 +30,7 @@
     read_history,
 )
 from catkincrank.store import ABSENT, Row, Store
+from catkincrank.storeaddress import open_store
 from catkincrank.subtree import settings_key
 
 __all__ = ('app',)
--- a/catkincrank/keeper.py
+++ b/catkincrank/keeper.py
@@ -114,6 +114,10 @@
             )
             self.watches.set_group(group, service)
 
+    def list_groups(self) -> list[str]:
+        """Return the groups of the teams in force."""
+        return sorted(self._services)
+
     def on_status(self, group: str, observation: Observation) -> None:
         """Take in an answer of an instance."""
         self.feed.learn(group, observation)
--- a/catkincrank/keeperprogram.py
+++ b/catkincrank/keeperprogram.py
@@ -1,14 +1,30 @@
 """The keeper as a program: its flags, and what runs beside it."""
 
 from dataclasses import dataclass
-from typing import final
+from functools import partial
+from typing import Any, final
 
+import anyio
+
+from catkincrank.admin import AdminHooks, AdminServer
 from catkincrank.errors import OptionError
-from catkincrank.keeper import KeeperOptions, PeerAddress, serve
+from catkincrank.keeper import Keeper, KeeperOptions, PeerAddress, serve
+from catkincrank.metrics import Metrics
+from catkincrank.relayservice import RelayService
+from catkincrank.shutdown import stop_at_signal
+from catkincrank.statedump import dump_process
+from catkincrank.storeaddress import open_store
 
-__all__ = ('KeeperFlags', 'PeerFlag', 'run')
+__all__ = (
+    'KeeperFlags',
+    'PeerFlag',
+    'extend_keeper',
+    'make_options',
+    'run',
+)
 
 _PEER_PARTS = 3
+_NEVER_LEARNT_S = -1
 
 
 @final
@@ -43,6 +59,7 @@
         host: IP number to listen on.
         port: TCP port to listen on.
         store: URL of the platform's service.
+        teams: Teams to follow besides those that proxies ask for.
         peers: Other keepers, NAME/ZONE/HOST:PORT parted by commas.
         admin_host: IP number of the admin port.
         admin_port: TCP port of the admin port; 0 takes a free one.
@@ -53,19 +70,66 @@
     host: str = '127.0.0.1'
     port: int = 7432
     store: str = ''
+    teams: tuple[str, ...] = ()
     peers: tuple[PeerFlag, ...] = ()
     admin_host: str = '127.0.0.1'
     admin_port: int = 0
 
 
 async def run(flags: KeeperFlags) -> None:
-    """Run a keeper until cancelled."""
-    await serve(
-        KeeperOptions(
-            flags.name,
-            flags.zone,
-            flags.host,
-            flags.port,
-            peers=tuple(peer.address for peer in flags.peers),
-        ),
+    """Run a keeper until a signal stops it."""
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(stop_at_signal, tasks.cancel_scope.cancel)
+        await serve(make_options(flags))
+
+
+def make_options(flags: KeeperFlags) -> KeeperOptions:
+    """Return the options of a keeper that also spreads settings."""
+    return KeeperOptions(
+        flags.name,
+        flags.zone,
+        flags.host,
+        flags.port,
+        store=open_store(flags.store) if flags.store else None,
+        peers=tuple(peer.address for peer in flags.peers),
+        extensions=(partial(extend_keeper, flags),),
+    )
+
+
+async def extend_keeper(flags: KeeperFlags, keeper: Keeper) -> None:
+    """Spread settings and serve the admin port beside a keeper."""
+    async with anyio.create_task_group() as tasks:
+        service = RelayService(keeper, flags.teams, tasks)
+        tasks.start_soon(service.run)
+        server = AdminServer(_make_hooks(keeper, service), _measure(service))
+        await server.serve(flags.admin_host, flags.admin_port)
+
+
+def _make_hooks(keeper: Keeper, service: RelayService) -> AdminHooks:
+    def dump() -> dict[str, Any]:  # noqa: WPS430
+        return dump_process(
+            keeper,
+            'keeper',
+            service.report(),
+        )
+
+    return AdminHooks(dump, lambda: service.report().list_obstacles())
+
+
+def _measure(service: RelayService) -> Metrics:
+    metrics = Metrics()
+    metrics.watch(
+        'settings_age_seconds',
+        'Age of what is known of settings; -1 when nothing was learnt.',
+        lambda: _number(service.report().age_s),
     )
+    metrics.watch(
+        'settings_unknown_teams',
+        'Served teams whose newest settings are not here.',
+        lambda: len(service.report().unknown),
+    )
+    return metrics
+
+
+def _number(age_s: float | None) -> float:
+    return _NEVER_LEARNT_S if age_s is None else age_s
--- a/catkincrank/programs.py
+++ b/catkincrank/programs.py
@@ -1,9 +1,8 @@
-"""Daemons as programs: options, logs, signals and the event loop."""
+"""Daemons as programs: options, logs and the event loop."""
 
 import importlib
 import os
-import signal
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any, final
 
@@ -53,36 +52,6 @@
     source = getattr(options, 'name', '') or name
     configure_logs(source)
     log_event('program_started', program=name, process_id=os.getpid())
-    request_drain = getattr(module, 'request_drain', None)
-    anyio.run(_serve, module.run, options, request_drain)
+    anyio.run(module.run, options)
     log_event('program_stopped', program=name)
     return 0
-
-
-async def _serve(
-    run: Callable[[Any], Awaitable[None]],
-    options: Any,
-    request_drain: Callable[[], Any] | None,
-) -> None:
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(_watch_signals, tasks.cancel_scope, request_drain)
-        await run(options)
-        tasks.cancel_scope.cancel()
-
-
-async def _watch_signals(
-    scope: anyio.CancelScope,
-    request_drain: Callable[[], Any] | None,
-) -> None:
-    stopping = False
-    with anyio.open_signal_receiver(
-        signal.SIGTERM,
-        signal.SIGINT,
-    ) as received:
-        async for signum in received:
-            log_event('signal_received', signal=signum.name)
-            if stopping or request_drain is None:
-                scope.cancel()
-                return
-            stopping = True
-            request_drain()
--- /dev/null
+++ b/catkincrank/relayreport.py
@@ -0,0 +1,61 @@
+"""What a process says of its settings in its state dump."""
+
+from dataclasses import dataclass
+from typing import final
+
+from catkincrank.subtree import SettingsBook
+
+__all__ = ('SettingsReport', 'report_book')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class SettingsReport:
+    """Settings of one process.
+
+    Attributes:
+        versions: Version in force of each team.
+        age_s: Age of the knowledge; ``None`` when nothing was ever learnt.
+        unknown: Served teams whose newest version is not here.
+        refused: Newer rows that are not valid, as texts by team.
+        sequence: Number of the newest index entry learnt; 0 at a proxy.
+        readers: The zone's readers of the store; empty at a proxy.
+    """
+
+    versions: dict[str, int]
+    age_s: float | None
+    unknown: list[str]
+    refused: dict[str, str]
+    sequence: int = 0
+    readers: tuple[str, ...] = ()
+
+    def list_obstacles(self) -> list[str]:
+        """Return why the process cannot serve yet."""
+        return [
+            'settings of {0} are not known'.format(team)
+            for team in self.unknown
+            if team not in self.versions
+        ]
+
+
+def report_book(
+    book: SettingsBook,
+    now: float,
+    unknown: list[str],
+    sequence: int = 0,
+    readers: tuple[str, ...] = (),
+) -> SettingsReport:
+    """Return the report on ``book``."""
+    age = book.age(now)
+    refused = {
+        team: 'version {0}: {1}'.format(refusal.version, refusal.reason)
+        for team, refusal in book.refusals().items()
+    }
+    return SettingsReport(
+        book.versions(),
+        None if age == float('inf') else age,
+        unknown,
+        refused,
+        sequence,
+        readers,
+    )
--- /dev/null
+++ b/catkincrank/relayservice.py
@@ -0,0 +1,208 @@
+"""Runs a relay beside a keeper: real store, links and clock."""
+
+import random
+from collections.abc import Callable
+from typing import Any, final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from catkincrank.dispatcher import Peer
+from catkincrank.errors import StoreUnavailableError
+from catkincrank.journal import Event
+from catkincrank.keeper import Keeper
+from catkincrank.links import Link, LinkClosedError
+from catkincrank.logs import Recorder
+from catkincrank.messages import Hello
+from catkincrank.peerlinks import PeerLinks
+from catkincrank.relay import Relay
+from catkincrank.relayactions import Action, Enforce, ReadIndex, ReadTeam, Send
+from catkincrank.relayreport import SettingsReport, report_book
+from catkincrank.relayroster import RelayPeer
+from catkincrank.settingsindex import INDEX_KEY
+from catkincrank.settingsmessages import (
+    SettingsDelta,
+    SettingsDigest,
+    SettingsPush,
+    SettingsRequest,
+    SettingsUpdate,
+)
+from catkincrank.store import Row, Store
+from catkincrank.subtree import settings_key
+
+__all__ = ('RelayService',)
+
+_TICK_S = 0.25
+_PROXY = 'proxy'
+
+
+@final
+class RelayService:
+    """A keeper's part in the spread of settings.
+
+    Args:
+        keeper: The keeper.
+        teams: Teams to serve whether or not a proxy asks for them.
+        tasks: Runs what is under way.
+    """
+
+    def __init__(
+        self,
+        keeper: Keeper,
+        teams: tuple[str, ...],
+        tasks: TaskGroup,
+    ) -> None:
+        options = keeper.options
+        self._keeper = keeper
+        self._tasks = tasks
+        self._teams = teams
+        self._store: Store | None = options.store
+        self._recorder = Recorder(keeper.journal)
+        self._subscribers: dict[Link, tuple[str, ...]] = {}
+        self.relay = Relay(
+            RelayPeer(options.name, options.zone),
+            random.Random(keeper.incarnation),
+        )
+        hello = Hello(
+            options.name,
+            options.zone,
+            'keeper',
+            keeper.incarnation,
+        )
+        self.links = PeerLinks(hello, keeper.dispatcher, tasks)
+        self.relay.roster.replace(
+            RelayPeer(peer.name, peer.zone) for peer in options.peers
+        )
+        self.links.replace(options.peers)
+        self._register()
+        self._serve_wanted()
+
+    def report(self) -> SettingsReport:
+        """Return what is in force and how old the knowledge is."""
+        knowledge = self.relay.knowledge
+        return report_book(
+            knowledge.book,
+            anyio.current_time(),
+            knowledge.list_unknown(),
+            self.relay.sequence,
+            self.relay.roster.readers,
+        )
+
+    async def run(self) -> None:
+        """Follow settings until cancelled."""
+        while True:
+            self._act(self.relay.tick(anyio.current_time()))
+            await anyio.sleep(_TICK_S)
+
+    def _register(self) -> None:
+        handle = self._keeper.dispatcher.handle
+        handle(SettingsRequest)(self._on_request)
+        handle(SettingsDigest)(self._on_digest)
+        for kind in (SettingsDelta, SettingsPush, SettingsUpdate):
+            handle(kind)(self._on_message)
+
+    async def _on_request(self, peer: Peer, request: SettingsRequest) -> None:
+        if peer.hello.role == _PROXY:
+            teams = tuple(known.team for known in request.known)
+            self._subscribers[peer.link] = teams
+            self._serve_wanted()
+            for update in self.relay.knowledge.answer(request):
+                if update.body:
+                    await peer.link.send(update)  # noqa: WPS476
+            return
+        await self._on_message(peer, request)
+
+    async def _on_digest(self, peer: Peer, digest: SettingsDigest) -> None:
+        if peer.hello.role != _PROXY:
+            await self._on_message(peer, digest)
+            return
+        age = self.report().age_s
+        await peer.link.send(
+            SettingsDelta(
+                self.relay.sequence,
+                0,
+                digest.stamp,
+                -1 if age is None else age,
+            ),
+        )
+
+    async def _on_message(self, peer: Peer, message: Any) -> None:
+        name = peer.hello.name
+        now = anyio.current_time()
+        for action in self.relay.on_message(name, message, now):
+            if isinstance(action, Send) and action.peer == name:
+                await peer.link.send(action.message)  # noqa: WPS476
+            else:
+                self._act([action])
+
+    def _act(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Send():
+                    self.links.send(action.peer, action.message)
+                case Enforce():
+                    self._enforce(action)
+                case ReadIndex():
+                    self._tasks.start_soon(self._read_index, action.asked_at)
+                case ReadTeam():
+                    self._tasks.start_soon(self._read_team, action.team)
+
+    async def _read_index(self, asked_at: float) -> None:
+        await self._read(
+            INDEX_KEY,
+            lambda row, now: self.relay.on_index(row, asked_at, now),
+        )
+
+    async def _read_team(self, team: str) -> None:
+        await self._read(
+            settings_key(team),
+            lambda row, now: self.relay.on_row(team, row, now),
+        )
+
+    async def _read(
+        self,
+        key: str,
+        take: Callable[[Row | None, float], list[Action]],
+    ) -> None:
+        if self._store is None:
+            return
+        try:
+            row = await self._store.read(key)
+        except StoreUnavailableError:
+            self._act(self.relay.on_store_failure(anyio.current_time()))
+        else:
+            self._act(take(row, anyio.current_time()))
+
+    def _enforce(self, action: Enforce) -> None:
+        row = action.row
+        team = self.relay.knowledge.book.team(action.team)
+        self._keeper.apply_team(action.team, team)
+        self._recorder.record(
+            Event(
+                'settings_in_force',
+                action.team,
+                'learnt from {0}'.format(action.source),
+                'version {0}'.format(row.version),
+                {'change_id': row.change_id},
+            ),
+        )
+        update = SettingsUpdate(
+            action.team,
+            row.version,
+            row.body,
+            row.change_id,
+        )
+        for link, teams in self._subscribers.items():
+            if action.team in teams:
+                self._tasks.start_soon(self._publish, link, update)
+
+    async def _publish(self, link: Link, update: SettingsUpdate) -> None:
+        try:
+            await link.send(update)
+        except LinkClosedError:
+            self._subscribers.pop(link, None)
+
+    def _serve_wanted(self) -> None:
+        wanted = set(self._teams).union(*self._subscribers.values())
+        now = anyio.current_time()
+        self.relay.knowledge.serve_teams(wanted, now)
--- /dev/null
+++ b/catkincrank/statedump.py
@@ -0,0 +1,73 @@
+"""State dumps: what a process believes, why, and since when."""
+
+import os
+from collections.abc import Iterable
+from typing import Any, Protocol
+
+import anyio
+import msgspec
+import psutil
+
+from catkincrank.feed import Feed
+from catkincrank.instance import Observation
+from catkincrank.journal import Journal
+from catkincrank.relayreport import SettingsReport
+
+__all__ = ('StateSource', 'dump_groups', 'dump_process')
+
+
+class StateSource(Protocol):
+    """What every daemon has to show."""
+
+    feed: Feed
+    journal: Journal
+
+    def list_groups(self) -> Iterable[str]:
+        """Return the groups of the teams it serves."""
+
+
+def dump_process(
+    source: StateSource,
+    role: str,
+    settings: SettingsReport,
+) -> dict[str, Any]:
+    """Return the state that daemons of every role show."""
+    usage = psutil.Process(os.getpid())
+    return {
+        'name': source.journal.source,
+        'role': role,
+        'process_id': usage.pid,
+        'resident_bytes': usage.memory_info().rss,
+        'cpu_s': sum(usage.cpu_times()[:2]),
+        'obstacles': settings.list_obstacles(),
+        'settings': msgspec.to_builtins(settings),
+        'groups': dump_groups(source.feed, source.list_groups()),
+        'journal': msgspec.to_builtins(source.journal.list_events()),
+    }
+
+
+def dump_groups(feed: Feed, groups: Iterable[str]) -> dict[str, Any]:
+    """Return what is known of each instance of ``groups``, and how old."""
+    now = anyio.current_time()
+    return {
+        group: {
+            endpoint: _dump_observation(seen, now)
+            for endpoint, seen in feed.observations(group).items()
+        }
+        for group in groups
+    }
+
+
+def _dump_observation(seen: Observation, now: float) -> dict[str, Any]:
+    status = seen.status
+    return {
+        'role': status.role.value,
+        'term': status.term,
+        'received': status.received,
+        'replayed': status.replayed,
+        'follows': status.follows,
+        'incarnation': status.incarnation,
+        'sealed': None if status.sealed is None else status.sealed.term,
+        'connections': status.connections,
+        'age_s': now - seen.taken_at,
+    }
--- a/catkincrank/commands/platform.py
+++ b/catkincrank/storeaddress.py
@@ -7,7 +7,7 @@
 
 __all__ = ('open_store',)
 
-_DRIVERS = {'http': 'catkincrank.stores.http'}  # noqa: WPS407
+_DRIVERS_PACKAGE = 'catkincrank.stores'
 
 
 def open_store(url: str) -> Store:
@@ -16,8 +16,8 @@
     Raises:
         OptionError: No driver takes such a URL.
     """
-    scheme = url.partition('://')[0]
-    if scheme not in _DRIVERS:
+    scheme, separator, _ = url.partition('://')
+    if not separator:
         raise OptionError('--store', url, 'a URL that begins with http://')
-    importlib.import_module(_DRIVERS[scheme])
+    importlib.import_module(_DRIVERS_PACKAGE)
     return stores.find(scheme)(url)
