Show over sockets that a change reaches proxies of every keeper

A start of a whole fleet waited 3 s for peers that were all still loading. Peers that can answer do so in milliseconds, so the wait is now 1 s.

--- a/catkincrank/relayloads.py
+++ b/catkincrank/relayloads.py
@@ -11,8 +11,8 @@
 
 __all__ = ('Load', 'LoadList')
 
-_RETRY_INTERVAL_S = 1
-_PATIENCE_S = 3
+_RETRY_INTERVAL_S = 0.5
+_PATIENCE_S = 1.0
 
 
 @final
--- /dev/null
+++ b/tests/test_relayservice.py
@@ -0,0 +1,116 @@
+import socket
+
+import anyio
+import pytest
+
+from catkincrank.adminclient import AdminAddress, call
+from catkincrank.changes import Change, change_team
+from catkincrank.errors import OptionError
+from catkincrank.keeper import serve
+from catkincrank.keeperprogram import KeeperFlags, PeerFlag, make_options
+from catkincrank.links import dial
+from catkincrank.messages import Hello, SettingsRequest, TeamVersion
+from catkincrank.standins.platform import StandinPlatform
+from catkincrank.storeaddress import open_store
+
+HOST = '127.0.0.1'
+LIMIT_S = 30
+
+
+def find_ports(count):
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def make_flags(store, names, ports, admin_ports):
+    peers = [
+        PeerFlag.parse('{0}/z/{1}:{2}'.format(name, HOST, port))
+        for name, port in zip(names, ports, strict=True)
+    ]
+    return [
+        KeeperFlags(
+            name,
+            'z',
+            HOST,
+            port,
+            store,
+            (),
+            tuple(peer for peer in peers if peer.address.name != name),
+            HOST,
+            admin,
+        )
+        for name, port, admin in zip(names, ports, admin_ports, strict=True)
+    ]
+
+
+async def await_update(link, version):
+    while True:
+        update = await link.receive()
+        if getattr(update, 'version', 0) == version:
+            return update
+
+
+async def await_knowledge(address):
+    while True:
+        state = await call(address, 'GET', '/state')
+        if state['settings']['age_s'] is not None:
+            return state
+        await anyio.sleep(0.1)
+
+
+async def subscribe(port, tasks):
+    link = await dial(HOST, port, LIMIT_S, 'p')
+    tasks.start_soon(link.run_heartbeats)
+    await link.send(Hello('p', 'z', 'proxy', 'x'))
+    await link.send(SettingsRequest((TeamVersion('t', 0),)))
+    return link
+
+
+async def change_and_watch():
+    names = ('k1', 'k2', 'k3', 'k4')
+    ports = find_ports(8)
+    platform = StandinPlatform()
+    with anyio.fail_after(LIMIT_S):
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(platform.serve)
+            store = open_store(platform.address)
+            first = Change('t', b'{"weight":1}', 0, 'asha', 1)
+            await change_team(store, first)
+            flags = make_flags(platform.address, names, ports[:4], ports[4:])
+            for each in flags:
+                await tasks.start(serve, make_options(each))
+            links = [await subscribe(port, tasks) for port in ports[:4]]
+            for link in links:
+                await await_update(link, 1)
+            second = Change('t', b'{"weight":2}', 1, 'binod', 2)
+            await change_team(store, second)
+            bodies = [(await await_update(link, 2)).body for link in links]
+            address = AdminAddress(HOST, ports[4])
+            state = await await_knowledge(address)
+            ready = await call(address, 'GET', '/ready')
+            tasks.cancel_scope.cancel()
+    return bodies, state, ready
+
+
+def test_a_change_reaches_the_proxies_of_every_keeper():
+    bodies, state, ready = anyio.run(change_and_watch)
+    assert bodies == [b'{"weight":2}'] * 4
+    assert state['settings']['versions'] == {'t': 2}
+    assert state['settings']['age_s'] is not None
+    assert len(state['settings']['readers']) == 2
+    assert [event['outcome'] for event in state['journal']] == [
+        'version 1',
+        'version 2',
+    ]
+    assert ready == {'ready': True, 'obstacles': []}
+
+
+@pytest.mark.parametrize('text', ['k', 'k/z', 'k/z/h', 'k/z/h:x'])
+def test_bad_peer_is_refused(text):
+    with pytest.raises(OptionError, match='NAME/ZONE/HOST:PORT'):
+        PeerFlag.parse(text)
