Keep a doubt until a majority stores the term that clears it

Cause: a claim that met no row cleared the doubt about an earlier attempt at once. A primary whose term no majority stores yet may be passed over by the next failover, which then brings back the older term's commit, so a later failure was judged 'not run' although the effect could come back. Change: the doubt is cleared after a majority is seen to store the new term. Before: the new test case gave 'not run' with one instance in the new term. After: 'may have run' there, 'not run' once a majority stores it. Conclusion: 'not run' never rests on a term that can be passed over.

--- a/catkincrank/writing.py
+++ b/catkincrank/writing.py
@@ -134,11 +134,24 @@
         known = await self._keys.claim(lease, claim)
         if known is not None:
             return known
-        request.is_doubtful = False
+        if request.is_doubtful:
+            await self._settle_doubt(request, lease)
         answer = await self._leases.execute(lease, text, params)
         await self._keys.record(lease, claim, answer)
         return answer
 
+    async def _settle_doubt(self, request: Request, lease: Lease) -> None:
+        """Clear the doubt once no earlier attempt can come back.
+
+        A primary whose term no majority stores yet may be passed over by the
+        next failover, which may then bring back an older term's commit.
+        """
+        status = await lease.connection.fetch_status()
+        start = status.history.starts[-1]
+        begun = LogMark(start.term, start.position)
+        await self._acknowledger.confirm(request, begun)
+        request.is_doubtful = False
+
     async def _run_standalone(
         self,
         request: Request,
--- a/tests/memorygroup.py
+++ b/tests/memorygroup.py
@@ -62,25 +62,26 @@
     def publish(self, *names):
         now = anyio.current_time()
         for name in names or NAMES:
-            is_primary = name == self.primary
-            role = Role.PRIMARY if is_primary else Role.REPLICA
-            status = InstanceStatus(
-                name,
-                'i1',
-                role,
-                self.history,
-                self.position,
-                self.position,
-                '' if is_primary else self.primary,
-            )
-            self.feed.learn(GROUP, Observation(status, now))
-
-    def promote(self, name):
+            self.feed.learn(GROUP, Observation(self.describe(name), now))
+
+    def describe(self, name):
+        is_primary = name == self.primary
+        return InstanceStatus(
+            name,
+            'i1',
+            Role.PRIMARY if is_primary else Role.REPLICA,
+            self.history,
+            self.position,
+            self.position,
+            '' if is_primary else self.primary,
+        )
+
+    def promote(self, name, *followers):
         """Begin a term on ``name`` with the log as it is."""
         term = self.history.term + 1
         self.history = self.history.extend(term, self.position)
         self.primary = name
-        self.publish()
+        self.publish(*((name, *followers) if followers else NAMES))
 
     async def connect(self, address, credential, application):
         await self.step('connect', address.endpoint)
@@ -158,7 +159,7 @@
         return mark
 
     async def fetch_status(self):
-        raise NotImplementedError
+        return self.group.describe(self.endpoint)
 
     async def close(self):
         self.is_closed = True
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -75,6 +75,30 @@
     play(scenario)
 
 
+@pytest.mark.parametrize(
+    ('followers', 'outcome'),
+    [(('b',), MAYBE), (('b', 'c'), NOT_RUN)],
+)
+def test_doubt_stays_until_a_majority_stores_the_new_term(followers, outcome):
+    """A term that no majority stores may give way to the older commit."""
+
+    async def scenario(group, executor):
+        group.faults = {'commit': 'lose-before'}
+        session = open_session(request_key='k1', deadline='5s')
+
+        async def replace_primary():
+            while ('commit', 'a') not in group.steps:
+                await anyio.sleep(0.0001)
+            group.promote('b', *followers)
+            group.faults['pay'] = 'hang'
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(replace_primary)
+            assert await submit(executor, session, PAY) == outcome
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     ('fault', 'verdict'),
     [
