Have writers of settings tell keepers of an accepted change

A store outage right after acceptance kept a change from the fleet until a reader had read it. A row that came before its team was served stayed in the cache; it now counts. Each settings command also runs in one event loop, so that the store's kept connection never outlives its loop.

--- a/benchmarks/relayfleet.py
+++ b/benchmarks/relayfleet.py
@@ -144,8 +144,7 @@
 
     def push_from_writer(self, row: Row, team: str, node: str) -> None:
         """Have the writer of the newest change tell ``node`` of it."""
-        number = len(self.table.rows[INDEX_KEY])
-        entry = SettingsEntry(number, team, row.version, is_accepted=True)
+        entry = SettingsEntry(0, team, row.version, is_accepted=True)
         push = SettingsPush(entry, row.body, row.change_id, crosses_zones=True)
         self._later(_ZONE_DELAY_S, self._receive, 'writer', node, push)
 
--- /dev/null
+++ b/catkincrank/commands/drafts.py
@@ -0,0 +1,105 @@
+"""Changes that operators draft, from credential to acceptance."""
+
+import getpass
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import final
+
+import anyio
+import typer
+
+from catkincrank.changes import Change, ChangeConflictError, change_team
+from catkincrank.commands.parameters import parse_keepers
+from catkincrank.credentials import TeamCredential, authorize
+from catkincrank.settingsdiff import Edit
+from catkincrank.settingshistory import make_change_id
+from catkincrank.settingspush import push_change
+from catkincrank.store import ABSENT, Row, Store
+from catkincrank.subtree import settings_key
+
+__all__ = ('NEWEST', 'Draft', 'show_edits', 'submit_draft')
+
+NEWEST = -1
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Draft:
+    """What flags say of a change.
+
+    Attributes:
+        team: The team.
+        author: Who makes it; empty for the login name.
+        change_id: Identifier of a change tried before; empty for a new one.
+        credential: ``TEAM:SECRET``.
+        keepers: Keepers to tell, as a list parted by commas.
+        expected_version: Version that it was made on.
+    """
+
+    team: str
+    author: str
+    change_id: str
+    credential: str
+    keepers: str
+    expected_version: int = NEWEST
+
+    def __repr__(self) -> str:
+        return 'Draft(team={0!r})'.format(self.team)
+
+
+def submit_draft(
+    store: Store,
+    draft: Draft,
+    edit: Callable[[Row | None], bytes],
+) -> None:
+    """Make the change that ``edit`` works out from the row in force."""
+    anyio.run(_submit, store, draft, edit)
+
+
+def show_edits(edits: tuple[Edit, ...], *, to_error: bool = False) -> None:
+    """Print edits, one a line."""
+    for edit in edits:
+        typer.echo('  {0}'.format(edit), err=to_error)
+
+
+async def _submit(
+    store: Store,
+    draft: Draft,
+    edit: Callable[[Row | None], bytes],
+) -> None:
+    holder = TeamCredential.parse(draft.credential)
+    keepers = parse_keepers(draft.keepers)
+    row = await store.read(settings_key(draft.team))
+    change = _make_change(draft, row, edit(row))
+    await authorize(store, holder, draft.team)
+    accepted = await _change(store, change)
+    typer.echo('{0}: version {1}'.format(draft.team, accepted.version))
+    told = await push_change(accepted, change.author, keepers)
+    if keepers and not told:
+        typer.echo('no keeper answers; they will read the store', err=True)
+
+
+def _make_change(draft: Draft, row: Row | None, body: bytes) -> Change:
+    expected = draft.expected_version
+    if expected == NEWEST:
+        expected = ABSENT if row is None else row.version
+    return Change(
+        draft.team,
+        body,
+        expected,
+        draft.author or getpass.getuser(),
+        time.time(),
+        draft.change_id or make_change_id(),
+    )
+
+
+async def _change(store: Store, change: Change) -> Row:
+    try:
+        return await change_team(store, change)
+    except ChangeConflictError as conflict:
+        typer.echo('yours:', err=True)
+        show_edits(conflict.ours, to_error=True)
+        typer.echo('theirs, by {0}:'.format(conflict.author), err=True)
+        show_edits(conflict.theirs, to_error=True)
+        raise
--- a/catkincrank/commands/parameters.py
+++ b/catkincrank/commands/parameters.py
@@ -6,14 +6,17 @@
 
 from catkincrank.adminclient import AdminAddress
 from catkincrank.errors import OptionError
+from catkincrank.feedclient import KeeperAddress
 
 __all__ = (
     'AdminList',
     'AuthorFlag',
     'CredentialFlag',
     'StoreFlag',
+    'KeeperList',
     'TeamArgument',
     'parse_addresses',
+    'parse_keepers',
 )
 
 StoreFlag = Annotated[
@@ -48,6 +51,14 @@
         help='Admin ports, HOST:PORT, parted by commas.',
     ),
 ]
+KeeperList = Annotated[
+    str,
+    typer.Option(
+        '--keepers',
+        envvar='CATKINCRANK_KEEPERS',
+        help='Keepers to tell of the change, NAME/HOST:PORT.',
+    ),
+]
 TeamArgument = Annotated[str, typer.Argument(help='Name of the team.')]
 
 
@@ -57,3 +68,17 @@
     if not parts:
         raise OptionError('--admin', text, 'one or more of HOST:PORT')
     return tuple(AdminAddress.parse(part) for part in parts)
+
+
+def parse_keepers(text: str) -> tuple[KeeperAddress, ...]:
+    """Return the keepers that a list parted by commas names."""
+    parts = [part for part in text.split(',') if part.strip()]
+    return tuple(_parse_keeper(part.strip()) for part in parts)
+
+
+def _parse_keeper(text: str) -> KeeperAddress:
+    name, slash, place = text.partition('/')
+    if not slash:
+        raise OptionError('--keepers', text, 'NAME/HOST:PORT')
+    address = AdminAddress.parse(place)
+    return KeeperAddress(name, address.host, address.port)
--- a/catkincrank/relay.py
+++ b/catkincrank/relay.py
@@ -15,7 +15,7 @@
 from catkincrank.relayroster import RelayPeer, Roster
 from catkincrank.relaysearch import fetch_team, search_version
 from catkincrank.relaywants import Want
-from catkincrank.relaywindow import SequenceSet
+from catkincrank.relaywindow import ChangeSet
 from catkincrank.settingsindex import decode_index
 from catkincrank.settingsmessages import (
     SettingsDelta,
@@ -58,7 +58,7 @@
         self._random = source
         self._index_due_at: float = 0
         self._digest_due_at: float = 0
-        self._passed = SequenceSet()
+        self._passed = ChangeSet()
         self._unspread: list[tuple[float, SettingsPush]] = []
 
     @property
@@ -123,7 +123,7 @@
         return [
             Send(peer, push)
             for push in recent
-            for peer in self.roster.start_crossing(push.entry.sequence)
+            for peer in self.roster.start_crossing(push.change_id)
         ]
 
     def on_message(
@@ -153,7 +153,7 @@
 
     def _on_push(self, sender: str, push: SettingsPush) -> list[Action]:
         entry = push.entry
-        if not self._passed.add(entry.sequence):
+        if not self._passed.add(push.change_id):
             return []
         self.knowledge.window.add(entry)
         row = Row(
@@ -164,12 +164,12 @@
         )
         actions: list[Action] = list(self.knowledge.take(row, sender).enforced)
         if not push.crosses_zones:
-            targets = self.roster.pass_push(entry.sequence)
+            targets = self.roster.pass_push(push.change_id)
             return [*actions, *(Send(peer, push) for peer in targets)]
         if self.roster.knows(sender):
-            zones = self.roster.pass_crossing(entry.sequence)
+            zones = self.roster.pass_crossing(push.change_id)
         else:
-            zones = self.roster.start_crossing(entry.sequence)
+            zones = self.roster.start_crossing(push.change_id)
         actions.extend(Send(peer, push) for peer in zones)
         return [*actions, *self._spread(entry, row)]
 
@@ -246,9 +246,9 @@
         return actions
 
     def _spread(self, entry: SettingsEntry, row: Row) -> list[Action]:
-        self._passed.add(entry.sequence)
+        self._passed.add(row.change_id)
         push = SettingsPush(entry, row.body, row.change_id)
-        targets = self.roster.start_push(entry.sequence)
+        targets = self.roster.start_push(row.change_id)
         return [Send(peer, push) for peer in targets]
 
     def _remember(self, entry: SettingsEntry, row: Row, now: float) -> None:
--- a/catkincrank/relayknowledge.py
+++ b/catkincrank/relayknowledge.py
@@ -82,6 +82,9 @@
             self._in_force.discard(dropped)
         for added in wanted - self._served:
             self.loads.begin(added, now)
+            cached = self._rows.find(added)
+            if cached is not None:
+                self.book.offer(cached)
         self._served = wanted
 
     def list_unknown(self) -> list[str]:
--- a/catkincrank/relayroster.py
+++ b/catkincrank/relayroster.py
@@ -108,34 +108,34 @@
         """Return whether ``name`` is a live node."""
         return any(name in names for names in self._zones.values())
 
-    def start_push(self, sequence: int) -> tuple[str, ...]:
+    def start_push(self, change_id: str) -> tuple[str, ...]:
         """Return whom in the zone to send a change first learnt here."""
-        ranked = self._rank_zone(sequence)
+        ranked = self._rank_zone(change_id)
         name = self._node.name
         targets = (*find_entrances(ranked, name), *find_children(ranked, name))
         return tuple(dict.fromkeys(targets))
 
-    def pass_push(self, sequence: int) -> tuple[str, ...]:
+    def pass_push(self, change_id: str) -> tuple[str, ...]:
         """Return whom in the zone to pass a change on to."""
-        return find_children(self._rank_zone(sequence), self._node.name)
+        return find_children(self._rank_zone(change_id), self._node.name)
 
-    def start_crossing(self, sequence: int) -> tuple[str, ...]:
+    def start_crossing(self, change_id: str) -> tuple[str, ...]:
         """Return whom in other zones to send a change first learnt here."""
-        ranked = rank_names(str(sequence), self._zones)
+        ranked = rank_names(change_id, self._zones)
         zone = self._node.zone
         targets = (*find_entrances(ranked, zone), *find_children(ranked, zone))
         return self._pick_in(dict.fromkeys(targets))
 
-    def pass_crossing(self, sequence: int) -> tuple[str, ...]:
+    def pass_crossing(self, change_id: str) -> tuple[str, ...]:
         """Return whom in other zones to pass a change on to."""
-        ranked = rank_names(str(sequence), self._zones)
+        ranked = rank_names(change_id, self._zones)
         return self._pick_in(find_children(ranked, self._node.zone))
 
     def _pick_in(self, zones: Iterable[str]) -> tuple[str, ...]:
         return tuple(self._random.choice(self._zones[zone]) for zone in zones)
 
-    def _rank_zone(self, sequence: int) -> tuple[str, ...]:
-        return rank_names(str(sequence), self._zones[self._node.zone])
+    def _rank_zone(self, change_id: str) -> tuple[str, ...]:
+        return rank_names(change_id, self._zones[self._node.zone])
 
     def _list_neighbours(self, own_zone: tuple[str, ...]) -> tuple[str, ...]:
         names = own_zone
--- a/catkincrank/relaywindow.py
+++ b/catkincrank/relaywindow.py
@@ -10,7 +10,7 @@
 from catkincrank.settingsmessages import SettingsEntry
 from catkincrank.store import Row
 
-__all__ = ('EntryWindow', 'RowCache', 'SequenceSet')
+__all__ = ('EntryWindow', 'RowCache', 'ChangeSet')
 
 _KEPT_ENTRIES = 256
 _KEPT_ROWS = 32
@@ -104,19 +104,19 @@
 
 
 @final
-class SequenceSet:
-    """The newest numbers added, as many as the window keeps entries."""
+class ChangeSet:
+    """The newest changes added, as many as the window keeps entries."""
 
-    __slots__ = ('_numbers',)
+    __slots__ = ('_changes',)
 
     def __init__(self) -> None:
-        self._numbers: OrderedDict[int, None] = OrderedDict()
+        self._changes: OrderedDict[str, None] = OrderedDict()
 
-    def add(self, number: int) -> bool:
-        """Add ``number``; return whether it was not there."""
-        if number in self._numbers:
+    def add(self, change_id: str) -> bool:
+        """Add a change; return whether it was not there."""
+        if change_id in self._changes:
             return False
-        self._numbers[number] = None
-        if len(self._numbers) > _KEPT_ENTRIES:
-            self._numbers.popitem(last=False)
+        self._changes[change_id] = None
+        if len(self._changes) > _KEPT_ENTRIES:
+            self._changes.popitem(last=False)
         return True
--- a/catkincrank/settingsmessages.py
+++ b/catkincrank/settingsmessages.py
@@ -68,7 +68,7 @@
     """An entry of the settings index.
 
     Attributes:
-        sequence: Its number.
+        sequence: Its number; 0 when the sender does not know it.
         team: The team.
         version: Version that its subtree reaches.
         is_accepted: Whether that version is known to have been reached.
--- a/tests/test_relayservice.py
+++ b/tests/test_relayservice.py
@@ -6,11 +6,14 @@
 from catkincrank.adminclient import AdminAddress, call
 from catkincrank.changes import Change, change_team
 from catkincrank.errors import OptionError
+from catkincrank.feedclient import KeeperAddress
 from catkincrank.keeper import serve
 from catkincrank.keeperprogram import KeeperFlags, PeerFlag, make_options
 from catkincrank.links import dial
 from catkincrank.messages import Hello, SettingsRequest, TeamVersion
+from catkincrank.settingspush import push_change
 from catkincrank.standins.platform import StandinPlatform
+from catkincrank.store import Row
 from catkincrank.storeaddress import open_store
 
 HOST = '127.0.0.1'
@@ -110,6 +113,30 @@
     assert ready == {'ready': True, 'obstacles': []}
 
 
+async def push_without_a_store():
+    port, admin, closed = find_ports(3)
+    keepers = (
+        KeeperAddress('gone', HOST, closed),
+        KeeperAddress('k', HOST, port),
+    )
+    flags = make_flags('', ('k',), (port,), (admin,))[0]
+    row = Row('settings/t', 3, b'{"weight":3}', 'c3')
+    with anyio.fail_after(LIMIT_S):
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(serve, make_options(flags))
+            told = await push_change(row, 'asha', keepers)
+            link = await subscribe(port, tasks)
+            body = (await await_update(link, 3)).body
+            tasks.cancel_scope.cancel()
+    return told, body
+
+
+def test_a_writers_push_needs_no_store():
+    told, body = anyio.run(push_without_a_store)
+    assert told == ['k']
+    assert body == b'{"weight":3}'
+
+
 @pytest.mark.parametrize('text', ['k', 'k/z', 'k/z/h', 'k/z/h:x'])
 def test_bad_peer_is_refused(text):
     with pytest.raises(OptionError, match='NAME/ZONE/HOST:PORT'):
