Proxy state, admin port, settings by keeper, drain tests, help for callers

A proxy answers /state with a typed dump, asks its keeper for the subtree of a team whose caller comes, and drains without cutting a request. client.py reads verdict, delay and token out of psycopg's, asyncpg's and SQLAlchemy's exceptions.

--- a/catkincrank/assembly.py
+++ b/catkincrank/assembly.py
@@ -12,6 +12,7 @@
 from catkincrank.primary import PrimaryFinder
 from catkincrank.reading import Reader
 from catkincrank.retrying import Retries
+from catkincrank.tally import Tally
 from catkincrank.transaction import Transactions
 from catkincrank.writing import Writer
 
@@ -23,6 +24,7 @@
     leases: Leases,
     catalog: Catalog,
     zone: str,
+    tally: Tally,
 ) -> Executor:
     """Return an executor with every variant registered.
 
@@ -31,12 +33,13 @@
         leases: Connections to endpoints.
         catalog: Services in force.
         zone: Availability zone of the proxy.
+        tally: Takes counts of outcomes.
     """
     retries = Retries(random.Random())
-    reader = Reader(news, leases, retries, zone)
+    reader = Reader(news, leases, retries, tally, zone)
     primaries = PrimaryFinder(news, leases, retries)
     acknowledger = Acknowledger(news)
-    writer = Writer(leases, primaries, acknowledger, retries)
+    writer = Writer(leases, primaries, acknowledger, retries, tally)
     transactions = Transactions(
         leases,
         reader,
@@ -48,5 +51,13 @@
     return Executor(
         catalog,
         Pipeline.from_names(),
-        Runners(leases, reader, writer, transactions, retries),
+        Runners(
+            leases,
+            reader,
+            writer,
+            transactions,
+            primaries,
+            retries,
+            tally,
+        ),
     )
--- /dev/null
+++ b/catkincrank/client.py
@@ -0,0 +1,109 @@
+"""Help for programs that call the proxy through a PostgreSQL driver.
+
+Works with the exceptions of psycopg, asyncpg and SQLAlchemy and loads none of
+them. It only reads what the proxy put into an error and into a session.
+"""
+
+import re
+from dataclasses import dataclass
+from typing import Any, final
+
+from catkincrank.verdict import Reason, Verdict
+
+__all__ = ('Failure', 'classify_error', 'format_options', 'quote_value')
+
+_VERDICT = re.compile('^verdict: (.+)$', re.MULTILINE)
+_RETRY_AFTER = re.compile(r'^retry_after: ([\d.]+)$', re.MULTILINE)
+_TOKEN = re.compile('^session: (.+)$', re.MULTILINE)
+_PREFIX = 'catkincrank.'
+_NEVER_SENT_STATES = frozenset(
+    ('08001', '08004', Reason.DRAINING.value, Reason.OVERLOADED.value),
+)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """What an error says about a request.
+
+    Attributes:
+        verdict: Whether the request may have run.
+        sqlstate: Its SQLSTATE; empty when the driver gave none.
+        retry_after_s: When to come back, in seconds; ``None`` when that
+            cannot help without a request key.
+        session: Token handed over by a draining proxy; empty when none.
+    """
+
+    verdict: Verdict
+    sqlstate: str
+    retry_after_s: float | None
+    session: str = ''
+
+    @property
+    def may_retry(self) -> bool:
+        """Whether the same request may be sent again without a key."""
+        return self.verdict is Verdict.NOT_RUN
+
+
+def classify_error(error: BaseException) -> Failure:
+    """Return what a driver's exception says about its request.
+
+    A connection that broke without a word leaves the outcome open.
+    """
+    cause = getattr(error, 'orig', None) or error
+    sqlstate = getattr(cause, 'sqlstate', None) or ''
+    detail = _read(cause, 'detail')
+    hint = _read(cause, 'hint')
+    return Failure(
+        _find_verdict(detail, sqlstate),
+        sqlstate,
+        _find_delay(hint),
+        _find(_TOKEN, hint),
+    )
+
+
+def format_options(**options: Any) -> str:
+    """Return the startup parameter ``options`` that sets session options.
+
+    For example ``format_options(session=token, max_staleness='5s')``.
+    """
+    return ' '.join(
+        '-c {0}{1}={2}'.format(_PREFIX, name, _escape(str(given)))
+        for name, given in options.items()
+    )
+
+
+def quote_value(given: str) -> str:
+    """Return ``given`` quoted for the right side of a ``SET``."""
+    return "'{0}'".format(given.replace("'", "''"))
+
+
+def _read(error: Any, name: str) -> str:
+    diagnostics = getattr(error, 'diag', None)
+    if diagnostics is not None:
+        return getattr(diagnostics, 'message_{0}'.format(name), '') or ''
+    return getattr(error, name, '') or ''
+
+
+def _find_verdict(detail: str, sqlstate: str) -> Verdict:
+    text = _find(_VERDICT, detail)
+    for verdict in Verdict:
+        if verdict.value == text:
+            return verdict
+    if sqlstate in _NEVER_SENT_STATES:
+        return Verdict.NOT_RUN
+    return Verdict.MAY_HAVE_RUN
+
+
+def _find_delay(hint: str) -> float | None:
+    text = _find(_RETRY_AFTER, hint)
+    return float(text) if text else None
+
+
+def _find(pattern: re.Pattern[str], text: str) -> str:
+    found = pattern.search(text)
+    return found.group(1) if found else ''
+
+
+def _escape(text: str) -> str:
+    return text.replace('\\', r'\\').replace(' ', r'\ ')
--- a/catkincrank/executor.py
+++ b/catkincrank/executor.py
@@ -16,11 +16,13 @@
 from catkincrank.leases import Leases
 from catkincrank.localanswers import LocalAnswers
 from catkincrank.pipeline import Pipeline
+from catkincrank.primary import PrimaryFinder
 from catkincrank.reading import Reader
 from catkincrank.request import Access, Request
 from catkincrank.retrying import Retries
 from catkincrank.session import Session
 from catkincrank.statement import Kind, Statement
+from catkincrank.tally import Tally
 from catkincrank.transaction import Transactions
 from catkincrank.verdict import Reason, RequestError, Verdict
 from catkincrank.writing import Writer
@@ -43,14 +45,18 @@
         reader: Runs reads outside transactions.
         writer: Runs writes outside transactions.
         transactions: Runs callers' transactions.
+        primaries: Leases connections to primaries.
         retries: Retry budgets.
+        tally: Counts of outcomes.
     """
 
     leases: Leases
     reader: Reader
     writer: Writer
     transactions: Transactions
+    primaries: PrimaryFinder
     retries: Retries
+    tally: Tally
 
 
 @final
@@ -103,8 +109,12 @@
             return answer
         if statement.kind is Kind.BEGIN and session.transaction is None:
             return self.runners.transactions.begin(session, statement)
-        request = self._prepare(session, statement, params)
-        return await self._limit(session, request, self._dispatch)
+        try:
+            request = self._prepare(session, statement, params)
+            return await self._limit(session, request, self._dispatch)
+        except (RequestError, StatementError) as error:
+            self.runners.tally.count_failed(session.group, error.sqlstate)
+            raise
 
     async def describe(
         self,
--- a/catkincrank/frontend.py
+++ b/catkincrank/frontend.py
@@ -4,7 +4,7 @@
 import itertools
 import os
 import struct
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import ExitStack
 from typing import Any, final
 
@@ -15,7 +15,6 @@
 from catkincrank.callerconnection import CallerConnection, CallerStream
 from catkincrank.callererrors import convert_error
 from catkincrank.callersession import CallerSession
-from catkincrank.catalog import Catalog
 from catkincrank.errors import OptionError
 from catkincrank.executor import Executor
 from catkincrank.localanswers import REPORTED
@@ -58,23 +57,28 @@
 
     Args:
         executor: Runs their statements.
-        catalog: Services in force.
+        knows: Returns whether a group is served.
         find_password: Returns the password of a group's team; ``None`` lets
             everyone in.
+
+    Attributes:
+        is_draining: Whether it refuses new callers.
+        port: Port that it listens on.
     """
 
     def __init__(
         self,
         executor: Executor,
-        catalog: Catalog,
+        knows: Callable[[str], Awaitable[bool]],
         find_password: Callable[[str], str | None],
     ) -> None:
         super().__init__(session_factory=_refuse_factory)
         self.parameter_status.update(REPORTED)
         self.find_password = find_password
         self.is_draining = False
+        self.port = 0
         self._executor = executor
-        self._catalog = catalog
+        self._knows = knows
         self._numbers = itertools.count(1)
 
     @property
@@ -83,9 +87,9 @@
         return list(self._connections.values())
 
     @property
-    def port(self) -> int:
-        """Port that it listens on."""
-        return self._server.sockets[0].getsockname()[1]
+    def is_listening(self) -> bool:
+        """Whether it accepts connections."""
+        return self._server is not None and self._server.is_serving()
 
     async def start(self, host: str, port: int) -> None:
         """Listen; other processes may share the port."""
@@ -96,6 +100,7 @@
             port,
             reuse_port=True,
         )
+        self.port = self._server.sockets[0].getsockname()[1]
 
     async def drain(self) -> None:
         """Refuse new callers and end idle ones; the others finish first."""
@@ -135,7 +140,7 @@
         session = Session(_find_group(startup))
         connection = self._make_connection(stream, session, startup)
         try:
-            self._admit(session, startup)
+            await self._admit(session, startup)
         except (RequestError, OptionError) as error:
             await connection.end(convert_error(error))
             return
@@ -161,10 +166,10 @@
             startup,
         )
 
-    def _admit(self, session: Session, startup: dict[str, str]) -> None:
+    async def _admit(self, session: Session, startup: dict[str, str]) -> None:
         if self.is_draining:
             raise _make_drain_error()
-        if session.group not in self._catalog:
+        if not await self._knows(session.group):
             raise RequestError(
                 Verdict.NOT_RUN,
                 Reason.UNKNOWN_SERVICE,
--- a/catkincrank/proxy.py
+++ b/catkincrank/proxy.py
@@ -16,11 +16,14 @@
 from catkincrank.feedclient import FeedClient, KeeperAddress
 from catkincrank.frontend import CallerServer
 from catkincrank.grouppools import GroupPools, PoolsOptions
-from catkincrank.journal import Journal
+from catkincrank.journal import Event, Journal
 from catkincrank.leases import Leases
+from catkincrank.logs import Recorder
 from catkincrank.messages import Hello
 from catkincrank.news import News
 from catkincrank.settings import Team
+from catkincrank.settingsclient import SettingsClient
+from catkincrank.tally import Tally
 
 __all__ = ('Proxy', 'ProxyOptions', 'serve')
 
@@ -72,8 +75,11 @@
         client: Link to a keeper, which fills ``feed``.
         feed: What it knows of the groups.
         journal: Its decisions.
+        executor: Runs statements.
         pools: Connections to endpoints.
         server: Its callers.
+        settings: Subtrees learnt from the keeper.
+        tally: Counts of outcomes.
     """
 
     def __init__(self, options: ProxyOptions, tasks: TaskGroup) -> None:
@@ -92,14 +98,18 @@
             ),
             tasks,
         )
-        self.server = CallerServer(
-            assemble_executor(
-                News(self.feed, self.client.interest.hurry),
-                Leases(self.pools),
-                self.catalog,
-                options.zone,
-            ),
+        self.settings = SettingsClient(self.client, self.apply_team)
+        self.tally = Tally()
+        self.executor = assemble_executor(
+            News(self.feed, self.client.interest.hurry),
+            Leases(self.pools),
             self.catalog,
+            options.zone,
+            self.tally,
+        )
+        self.server = CallerServer(
+            self.executor,
+            self._knows,
             self._find_password,
         )
         self._drain_asked = anyio.Event()
@@ -130,13 +140,39 @@
             if not connection.is_idle
         ]
 
+    def list_obstacles(self) -> list[str]:
+        """Return why callers should go elsewhere; empty when they need not."""
+        obstacles = []
+        if self.server.is_draining:
+            obstacles.append('draining')
+        if self.options.keepers and not self.client.connected_to:
+            obstacles.append('no keeper answers')
+        return obstacles
+
     async def wait_drained(self) -> None:
         """Wait for the request to drain, then until it is done."""
         await self._drain_asked.wait()
+        self._record_drain('began', self.list_pending())
         await self.server.drain()
         with anyio.move_on_after(self.options.drain_limit_s):
             while self.server.connections:
                 await anyio.sleep(_DRAIN_POLL_S)
+        self._record_drain('ended', self.list_pending())
+
+    def _record_drain(self, outcome: str, pending: list[str]) -> None:
+        evidence = {'waits_for': str(len(pending))}
+        event = Event('drain', self.options.name, 'asked', outcome, evidence)
+        Recorder(self.journal).record(event)
+
+    async def _knows(self, group: str) -> bool:
+        """Return whether a group is served, asking the keeper if need be."""
+        if group in self.catalog:
+            return True
+        team = group.partition('/')[0]
+        if self.settings.book.team(team) is not None:
+            return False
+        await self.settings.fetch(team)
+        return group in self.catalog
 
     def _apply_group(self, group: str) -> None:
         service = self.catalog.find(group)
@@ -177,5 +213,6 @@
     tasks.start_soon(proxy.pools.run)
     if proxy.options.keepers:
         tasks.start_soon(proxy.client.run)
+        tasks.start_soon(proxy.settings.run)
     for extension in proxy.options.extensions:
         tasks.start_soon(extension, proxy)
--- a/catkincrank/proxyprogram.py
+++ b/catkincrank/proxyprogram.py
@@ -2,13 +2,17 @@
 
 import os
 from dataclasses import dataclass
-from typing import final
+from functools import partial
+from typing import Any, final
 
+from catkincrank.admin import AdminHooks, AdminServer
 from catkincrank.errors import OptionError
 from catkincrank.feedclient import KeeperAddress
-from catkincrank.proxy import ProxyOptions, serve
+from catkincrank.metrics import Metrics
+from catkincrank.proxy import Proxy, ProxyOptions, serve
+from catkincrank.proxystate import describe_proxy
 
-__all__ = ('KeeperFlag', 'ProxyFlags', 'run')
+__all__ = ('KeeperFlag', 'ProxyFlags', 'request_drain', 'run', 'serve_admin')
 
 
 @final
@@ -58,6 +62,30 @@
     admin_port: int = 0
 
 
+@final
+class _Running:
+    """The proxy of this program, for signals."""
+
+    __slots__ = ('proxy',)
+
+    def __init__(self) -> None:
+        self.proxy: Proxy | None = None
+
+    async def keep(self, proxy: Proxy) -> None:
+        """Note the proxy that runs."""
+        self.proxy = proxy
+
+
+_running = _Running()
+
+
+def request_drain() -> list[str]:
+    """Begin to drain the proxy that runs; return what it waits for."""
+    if _running.proxy is None:
+        return []
+    return _running.proxy.request_drain()
+
+
 async def run(flags: ProxyFlags) -> None:
     """Run a proxy until it is cancelled or drained."""
     await serve(
@@ -69,5 +97,22 @@
             keepers=tuple(keeper.address for keeper in flags.keepers),
             environment=os.environ,
             drain_limit_s=flags.drain_limit_s,
+            extensions=(_running.keep, partial(serve_admin, flags)),
         ),
     )
+
+
+async def serve_admin(flags: ProxyFlags, proxy: Proxy) -> None:
+    """Serve the admin port of a proxy."""
+    metrics = Metrics()
+    proxy.tally.expose(metrics)
+    hooks = AdminHooks(
+        dump_state=partial(_dump_state, proxy),
+        list_obstacles=proxy.list_obstacles,
+        request_drain=proxy.request_drain,
+    )
+    await AdminServer(hooks, metrics).serve(flags.admin_host, flags.admin_port)
+
+
+def _dump_state(proxy: Proxy) -> dict[str, Any]:
+    return describe_proxy(proxy).as_map()
--- a/catkincrank/reading.py
+++ b/catkincrank/reading.py
@@ -9,7 +9,7 @@
 from catkincrank.history import Containment
 from catkincrank.leases import Lease, Leases
 from catkincrank.news import News
-from catkincrank.request import Progress, Request
+from catkincrank.request import Access, Progress, Request
 from catkincrank.retrying import Retries
 from catkincrank.routing import (
     Lost,
@@ -19,6 +19,7 @@
     choose_read,
 )
 from catkincrank.session import Session
+from catkincrank.tally import Tally
 from catkincrank.verdict import Reason, RequestError, Verdict
 
 __all__ = ('Reader',)
@@ -36,22 +37,25 @@
         news: Evidence about the groups, and a way to wait for more.
         leases: Connections.
         retries: Retry budgets.
+        tally: Takes counts of answers.
         zone: Availability zone of the proxy.
     """
 
-    __slots__ = ('_feed', '_leases', '_retries', '_news', '_zone')
+    __slots__ = ('_feed', '_leases', '_news', '_retries', '_tally', '_zone')
 
     def __init__(
         self,
         news: News,
         leases: Leases,
         retries: Retries,
+        tally: Tally,
         zone: str,
     ) -> None:
         self._news = news
         self._feed = news.feed
         self._leases = leases
         self._retries = retries
+        self._tally = tally
         self._zone = zone
 
     async def run(self, session: Session, request: Request) -> Answer:
@@ -125,6 +129,7 @@
             await leases.release(lease)
             raise
         await leases.release(lease)
+        self._tally.count_served(request.group, Access.READ, lease.endpoint)
         return answer
 
     async def _try_lease(
--- /dev/null
+++ b/catkincrank/settingsclient.py
@@ -0,0 +1,113 @@
+"""Keeps a proxy's settings up to date from its keeper."""
+
+from collections.abc import Callable
+from typing import final
+
+import anyio
+
+from catkincrank.dispatcher import Peer
+from catkincrank.feedclient import FeedClient
+from catkincrank.links import Link, LinkClosedError
+from catkincrank.logs import log_event
+from catkincrank.settings import Team
+from catkincrank.settingsmessages import (
+    SettingsRequest,
+    SettingsUpdate,
+    TeamVersion,
+)
+from catkincrank.store import Row
+from catkincrank.subtree import SettingsBook, settings_key
+
+__all__ = ('SettingsClient',)
+
+_REQUEST_INTERVAL_S = 2
+_LEARN_LIMIT_S = 1.5
+_MOST_TEAMS = 4096
+
+
+@final
+class SettingsClient:
+    """Asks for the subtrees of teams whose callers have come.
+
+    Args:
+        client: Link to a keeper.
+        apply: Brings a team's subtree into force.
+
+    Attributes:
+        book: The subtrees that are in force.
+    """
+
+    __slots__ = ('_apply', '_changed', '_link', '_wanted', 'book')
+
+    def __init__(
+        self,
+        client: FeedClient,
+        apply: Callable[[str, Team | None], None],
+    ) -> None:
+        self.book = SettingsBook()
+        self._apply = apply
+        self._link: Link | None = None
+        self._wanted: set[str] = set()
+        self._changed = anyio.Event()
+        client.on_open(self._open)
+        client.dispatcher.handle(SettingsUpdate)(self._learn)
+
+    def want(self, team: str) -> bool:
+        """Ask for a team's subtree from now on; false when too many are."""
+        if len(self._wanted) >= _MOST_TEAMS:
+            return False
+        self._wanted.add(team)
+        return True
+
+    async def run(self) -> None:
+        """Ask for newer versions until cancelled."""
+        while True:
+            await self._request()
+            await anyio.sleep(_REQUEST_INTERVAL_S)
+
+    async def fetch(self, team: str) -> bool:
+        """Ask for a team that is not known; return whether it is now."""
+        if not self.want(team):
+            return False
+        with anyio.move_on_after(_LEARN_LIMIT_S):
+            await self._request()
+            while self.book.team(team) is None:
+                await self._changed.wait()
+            return True
+        self._wanted.discard(team)
+        return False
+
+    async def _open(self, link: Link) -> None:
+        self._link = link
+        await self._request()
+
+    async def _request(self) -> None:
+        if self._link is None or not self._wanted:
+            return
+        known = tuple(
+            TeamVersion(team, self.book.version(team))
+            for team in sorted(self._wanted)
+        )
+        try:
+            await self._link.send(SettingsRequest(known))
+        except LinkClosedError:
+            self._link = None
+
+    async def _learn(self, _peer: Peer, update: SettingsUpdate) -> None:
+        row = Row(
+            settings_key(update.team),
+            update.version,
+            update.body,
+            update.change_id,
+        )
+        if not self.book.offer(row):
+            return
+        log_event(
+            'settings_in_force',
+            team=update.team,
+            version=update.version,
+            change_id=update.change_id,
+        )
+        self._apply(update.team, self.book.team(update.team))
+        self._changed.set()
+        self._changed = anyio.Event()
--- a/catkincrank/writing.py
+++ b/catkincrank/writing.py
@@ -9,11 +9,12 @@
 from catkincrank.history import LogMark
 from catkincrank.leases import Lease, Leases
 from catkincrank.primary import PrimaryFinder
-from catkincrank.request import Progress, Request
+from catkincrank.request import Access, Progress, Request
 from catkincrank.requestkeys import KeyClaim, MissingTableError, RequestKeys
 from catkincrank.retrying import Retries
 from catkincrank.session import Session
 from catkincrank.statement import Kind
+from catkincrank.tally import Tally
 from catkincrank.verdict import Reason, RequestError, Verdict
 
 __all__ = (
@@ -40,9 +41,17 @@
         primaries: Finds primaries.
         acknowledger: Waits for acknowledgements.
         retries: Retry budgets.
+        tally: Takes counts of answers.
     """
 
-    __slots__ = ('_acknowledger', '_keys', '_leases', '_primaries', '_retries')
+    __slots__ = (
+        '_acknowledger',
+        '_keys',
+        '_leases',
+        '_primaries',
+        '_retries',
+        '_tally',
+    )
 
     def __init__(
         self,
@@ -50,11 +59,13 @@
         primaries: PrimaryFinder,
         acknowledger: Acknowledger,
         retries: Retries,
+        tally: Tally,
     ) -> None:
         self._leases = leases
         self._primaries = primaries
         self._acknowledger = acknowledger
         self._retries = retries
+        self._tally = tally
         self._keys = RequestKeys(leases)
 
     async def run(self, session: Session, request: Request) -> Answer:
@@ -103,6 +114,7 @@
         await self._leases.release(lease)
         await self._acknowledger.confirm(request, mark)
         session.advance(mark)
+        self._tally.count_served(request.group, Access.WRITE, lease.endpoint)
         return answer
 
     async def _run_on(
--- a/tests/memorygroup.py
+++ b/tests/memorygroup.py
@@ -25,6 +25,7 @@
 from catkincrank.news import News
 from catkincrank.session import Session
 from catkincrank.settings import Endpoint, Limits, Service, Team
+from catkincrank.tally import Tally
 
 GROUP = 'sawari/ledger'
 NAMES = ('a', 'b', 'c')
@@ -242,7 +243,13 @@
         group.pools = pools
         yield (
             group,
-            assemble_executor(News(group.feed), Leases(pools), catalog, 'z1'),
+            assemble_executor(
+                News(group.feed),
+                Leases(pools),
+                catalog,
+                'z1',
+                Tally(),
+            ),
         )
         tasks.cancel_scope.cancel()
 
--- /dev/null
+++ b/tests/test_proxy.py
@@ -0,0 +1,185 @@
+from dataclasses import replace
+
+import anyio
+import asyncpg
+import psycopg
+import pytest
+
+from catkincrank.history import LogMark
+from catkincrank.proxy import serve
+from catkincrank.proxystate import describe_proxy
+from catkincrank.tokens import SessionToken, encode_token
+from tests.deployment import deploy
+
+CREATE = 'CREATE TABLE loans (id bigint PRIMARY KEY)'
+ENVIRONMENT = {'CATKINCRANK_PASSWORD_SAWARI': 'kathmandu'}
+FOREIGN = encode_token(SessionToken('other/ledger', LogMark(1, 1)))
+
+
+def run(use, **options):
+    async def start():
+        async with deploy(**options) as deployment:
+            await use(deployment)
+
+    anyio.run(start)
+
+
+async def wait_until(condition):
+    while not condition():
+        await anyio.sleep(0.01)
+
+
+async def _drain(deployment):
+    proxy = deployment.proxies[0]
+    idle = await psycopg.AsyncConnection.connect(
+        deployment.conninfo(),
+        autocommit=True,
+    )
+    busy = await asyncpg.connect(**deployment.address())
+    await idle.execute(CREATE)
+    work = busy.transaction()
+    await work.start()
+    await busy.execute('INSERT INTO loans VALUES (1)')
+    assert len(proxy.request_drain()) == 1
+    with pytest.raises(psycopg.errors.AdminShutdown) as told:
+        await idle.execute('SELECT count(*) FROM loans')
+    assert told.value.diag.message_detail == 'verdict: not run'
+    assert 'session: ' in told.value.diag.message_hint
+    with pytest.raises(asyncpg.AdminShutdownError) as caught:
+        await asyncpg.connect(**deployment.address())
+    assert 'retry_after: 0.000' in caught.value.hint
+    await busy.execute('INSERT INTO loans VALUES (2)')
+    await work.commit()
+    await wait_until(lambda: not proxy.server.connections)
+    other = await asyncpg.connect(**deployment.address(1))
+    found = await other.fetchval('SELECT count(*) FROM loans')
+    await other.close()
+    assert found == 2
+
+
+async def _lose_caller(deployment):
+    """A caller's death ends its transaction and frees its row locks."""
+    proxy = deployment.proxies[0]
+    other = await asyncpg.connect(**deployment.address())
+    await other.execute(CREATE)
+    caller = await asyncpg.connect(**deployment.address())
+    await caller.execute('BEGIN')
+    await caller.execute('INSERT INTO loans VALUES (1)')
+    caller.terminate()
+    await wait_until(lambda: len(proxy.server.connections) == 1)
+    assert await other.execute('INSERT INTO loans VALUES (1)') == 'INSERT 0 1'
+    await other.close()
+
+
+async def _lose_caller_in_statement(deployment):
+    proxy = deployment.proxies[0]
+    caller = await asyncpg.connect(**deployment.address())
+    deployment.group.freeze('a')
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_expect_loss, caller)
+        await wait_until(lambda: proxy.server.connections[0].state.is_busy)
+        caller.terminate()
+    await wait_until(lambda: not proxy.server.connections)
+    deployment.group.resume('a')
+    other = await asyncpg.connect(**deployment.address())
+    assert 'CREATE' in await other.execute(CREATE)
+    await other.close()
+
+
+async def _expect_loss(caller):
+    with pytest.raises((asyncpg.PostgresError, asyncpg.InterfaceError)):
+        await caller.execute(CREATE)
+
+
+async def _send_garbage(deployment):
+    """Nonsense on one connection leaves the others alone."""
+    port = deployment.proxies[0].server.port
+    for garbage in (b'\x00' * 64, b'GET / HTTP/1.1\r\n\r\n', b'\x7f' * 9):
+        stream = await anyio.connect_tcp('127.0.0.1', port)
+        await stream.send(garbage)
+        await stream.aclose()
+    caller = await asyncpg.connect(**deployment.address())
+    assert await caller.fetchval('SHOW server_version') == '16.0'
+    await caller.close()
+
+
+async def _show_state(deployment):
+    proxy = deployment.proxies[0]
+    caller = await asyncpg.connect(**deployment.address())
+    await caller.execute(CREATE)
+    async with caller.transaction():
+        await caller.execute('INSERT INTO loans VALUES (1)')
+        state = describe_proxy(proxy)
+    (group,) = state.groups
+    assert group.primary == 'a'
+    assert [one.name for one in group.endpoints] == ['a', 'b', 'c']
+    (shown,) = state.callers
+    assert (shown.transaction, shown.endpoint) == ('T', 'a')
+    assert state.served == {'sawari/ledger write a': 1}
+    assert 'password' not in str(state.as_map())
+    await caller.close()
+
+
+@pytest.mark.parametrize(
+    'use',
+    [
+        _drain,
+        _lose_caller,
+        _lose_caller_in_statement,
+        _send_garbage,
+        _show_state,
+    ],
+)
+def test_proxy(use):
+    run(use)
+
+
+@pytest.mark.parametrize(
+    ('changed', 'sqlstate'),
+    [
+        ('password=kathmandu', ''),
+        ('password=wrong', '28P01'),
+        ('password=kathmandu user=a dbname=sawari/ledger', ''),
+        ('password=kathmandu user=sawari.other', '3D000'),
+        ('password=kathmandu user=nobody', '3D000'),
+        ('options=-ccatkincrank.deadline=never', '22023'),
+        ('options=-ccatkincrank.session=' + FOREIGN, '22023'),
+    ],
+)
+def test_admission(changed, sqlstate):
+    async def use(deployment):
+        outcome = ''
+        text = '{0} {1}'.format(deployment.conninfo(), changed)
+        try:
+            caller = await psycopg.AsyncConnection.connect(text)
+            await caller.close()
+        except psycopg.OperationalError as error:
+            outcome = str(error)
+        expected = {
+            '': '',
+            '28P01': 'password authentication failed',
+            '3D000': 'no service',
+            '22023': 'is not accepted; it takes',
+        }[sqlstate]
+        assert expected in outcome
+        assert bool(outcome) is bool(sqlstate)
+
+    run(use, environment=ENVIRONMENT)
+
+
+async def _share_port(deployment):
+    """Callers of a shared port are served by either process."""
+    first = deployment.proxies[0]
+    options = replace(first.options, name='p3', port=first.server.port)
+    async with anyio.create_task_group() as tasks:
+        second = await tasks.start(serve, options)
+        first.request_drain()
+        await wait_until(lambda: not first.server.is_listening)
+        for _ in range(8):
+            caller = await asyncpg.connect(**deployment.address())
+            await caller.close()
+        second.request_drain()
+
+
+def test_shared_port():
+    run(_share_port)
