--- a/catkincrank/writing.py
+++ b/catkincrank/writing.py
@@ -9,11 +9,12 @@
 from catkincrank.history import LogMark
 from catkincrank.leases import Lease, Leases
 from catkincrank.primary import PrimaryFinder
-from catkincrank.request import Progress, Request
+from catkincrank.request import Access, Progress, Request
 from catkincrank.requestkeys import KeyClaim, MissingTableError, RequestKeys
 from catkincrank.retrying import Retries
 from catkincrank.session import Session
 from catkincrank.statement import Kind
+from catkincrank.tally import Tally
 from catkincrank.verdict import Reason, RequestError, Verdict
 
 __all__ = (
@@ -40,9 +41,17 @@
         primaries: Finds primaries.
         acknowledger: Waits for acknowledgements.
         retries: Retry budgets.
+        tally: Takes counts of answers.
     """
 
-    __slots__ = ('_acknowledger', '_keys', '_leases', '_primaries', '_retries')
+    __slots__ = (
+        '_acknowledger',
+        '_keys',
+        '_leases',
+        '_primaries',
+        '_retries',
+        '_tally',
+    )
 
     def __init__(
         self,
@@ -50,11 +59,13 @@
         primaries: PrimaryFinder,
         acknowledger: Acknowledger,
         retries: Retries,
+        tally: Tally,
     ) -> None:
         self._leases = leases
         self._primaries = primaries
         self._acknowledger = acknowledger
         self._retries = retries
+        self._tally = tally
         self._keys = RequestKeys(leases)
 
     async def run(self, session: Session, request: Request) -> Answer:
@@ -103,6 +114,7 @@
         await self._leases.release(lease)
         await self._acknowledger.confirm(request, mark)
         session.advance(mark)
+        self._tally.count_served(request.group, Access.WRITE, lease.endpoint)
         return answer
 
     async def _run_on(
@@ -134,11 +146,24 @@
         known = await self._keys.claim(lease, claim)
         if known is not None:
             return known
-        request.is_doubtful = False
+        if request.is_doubtful:
+            await self._settle_doubt(request, lease)
         answer = await self._leases.execute(lease, text, params)
         await self._keys.record(lease, claim, answer)
         return answer
 
+    async def _settle_doubt(self, request: Request, lease: Lease) -> None:
+        """Clear the doubt once no earlier attempt can come back.
+
+        A primary whose term no majority stores yet may be passed over by the
+        next failover, which may then bring back an older term's commit.
+        """
+        status = await lease.connection.fetch_status()
+        start = status.history.starts[-1]
+        begun = LogMark(start.term, start.position)
+        await self._acknowledger.confirm(request, begun)
+        request.is_doubtful = False
+
     async def _run_standalone(
         self,
         request: Request,
