Send a stand-in's answer in one piece

Cause: each message of an answer was a write of its own, so one status took four wake-ups at the reader and at each relay on the way. Change: the stand-in's stream holds messages until the other end waits.

--- a/catkincrank/standins/session.py
+++ b/catkincrank/standins/session.py
@@ -12,6 +12,7 @@
 from catkincrank.standins.execution import Execution
 from catkincrank.standins.instance import StandinInstance
 from catkincrank.standins.portal import Row, Runner, StandinStatement
+from catkincrank.standins.stream import AnswerStream
 
 __all__ = ('StandinSession',)
 
@@ -54,6 +55,7 @@
 
     async def init(self, connection: Any) -> None:
         """Join the instance's sessions."""
+        connection.stream = AnswerStream(connection.stream)
         self._connection = connection
         self._execution = Execution(self.instance, connection)
         params = connection.startup_params
