--- a/catkincrank/keeper.py
+++ b/catkincrank/keeper.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup, TaskStatus
 from loguru import logger
 
+from catkincrank import endpoints  # noqa: F401
 from catkincrank.dispatcher import Dispatcher, Peer
 from catkincrank.errors import MessageError
 from catkincrank.feed import Feed
