Fill the registries of variants in the daemons and stop them by signals

Run as a process, a keeper or proxy refused every group: nothing imported the endpoint drivers, which tests always do.

--- /dev/null
+++ b/benchmarks/processcosts.py
@@ -0,0 +1,302 @@
+"""Keepers and proxies as processes before small stand-ins."""
+
+import asyncio
+import contextlib
+import os
+import socket
+import sys
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Any, final
+
+import anyio
+import psutil
+
+from catkincrank.adminclient import AdminAddress, AdminError, call
+from catkincrank.changes import Change, change_team
+from catkincrank.load.connection import CallerConnection, Target
+from catkincrank.settings import Endpoint, Limits, Service, Team, encode_team
+from catkincrank.standins.group import StandinGroup
+from catkincrank.standins.instance import InstanceOptions
+from catkincrank.standins.platform import StandinPlatform
+from catkincrank.stores.http import HttpStore
+
+__all__ = ('KeeperCost', 'ProxyCost', 'measure_keeper', 'measure_proxy')
+
+_HOST = '127.0.0.1'
+_ZONE = 'zone-0'
+_TEAM = 'team'
+_SETTLE_S = 4
+_SAMPLE_S = 6
+_READY_LIMIT_S = 30
+_POLL_S = 0.2
+_MEGABYTE = 1048576
+_PASSWORD = 'benchmark'
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class KeeperCost:
+    """A keeper that watches a number of groups at rest.
+
+    Attributes:
+        groups: Groups that it watches, of three instances each.
+        resident_mb: Resident memory, in MB.
+        private_mb: The part of it that no other process shares.
+        cpu_share: Share of one core.
+        endpoint_bytes_per_s: Payload to and from the instances.
+        store_reads_per_s: Its reads of the store.
+    """
+
+    groups: int
+    resident_mb: float
+    private_mb: float
+    cpu_share: float
+    endpoint_bytes_per_s: float
+    store_reads_per_s: float
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ProxyCost:
+    """A proxy under statements of a few callers, and with idle callers.
+
+    Attributes:
+        resident_mb: Resident memory before the callers, in MB.
+        bytes_per_caller: Memory that one idle caller takes.
+        cpu_us_per_read: Processor time of a read of one row.
+        cpu_share_at_rest: Share of one core without callers.
+        reads: How many reads were run.
+    """
+
+    resident_mb: float
+    bytes_per_caller: float
+    cpu_us_per_read: float
+    cpu_share_at_rest: float
+    reads: int
+
+
+@final
+class _Meter:
+    """Relays connections to an instance and counts their bytes."""
+
+    def __init__(self, port: int) -> None:
+        self.port = 0
+        self.count = 0
+        self._target = port
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._accept, _HOST, 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def _accept(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        inner = await asyncio.open_connection(_HOST, self._target)
+        await asyncio.gather(
+            self._relay(reader, inner[1]),
+            self._relay(inner[0], writer),
+        )
+
+    async def _relay(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while chunk := await reader.read(65536):
+                self.count += len(chunk)
+                writer.write(chunk)
+        writer.close()
+
+
+@final
+class _Bench:
+    """The stand-ins and the addresses of the processes to come."""
+
+    def __init__(self, platform: StandinPlatform, meters: list[_Meter]) -> None:
+        self.platform = platform
+        self.meters = meters
+        self.store = HttpStore(platform.address)
+        self.keeper_port = _pick_port()
+        self.keeper_admin = _pick_port()
+        self.proxy_port = _pick_port()
+        self.proxy_admin = _pick_port()
+
+    async def write_team(self, groups: int) -> None:
+        """Write settings with a number of groups over the same instances."""
+        endpoints = tuple(
+            Endpoint(name, _ZONE, _HOST, meter.port)
+            for name, meter in zip('abc', self.meters, strict=True)
+        )
+        limits = Limits(connections=100)
+        services = {
+            'service-{0}'.format(number): Service(endpoints, limits=limits)
+            for number in range(groups)
+        }
+        body = encode_team(Team(services))
+        await change_team(self.store, Change(_TEAM, body, 0, 'bench', 0))
+
+    def count_bytes(self) -> int:
+        """Return the payload to and from the instances so far."""
+        return sum(meter.count for meter in self.meters)
+
+
+async def measure_keeper(groups: int) -> KeeperCost:
+    """Return what a keeper of ``groups`` groups takes at rest."""
+    async with _open_bench() as bench:
+        await bench.write_team(groups)
+        async with _run_keeper(bench) as keeper:
+            await anyio.sleep(_SETTLE_S)
+            before, cpu = bench.count_bytes(), _cpu_s(keeper)
+            reads = bench.platform.reads
+            await anyio.sleep(_SAMPLE_S)
+            memory = keeper.memory_full_info()
+            return KeeperCost(
+                groups,
+                memory.rss / _MEGABYTE,
+                memory.uss / _MEGABYTE,
+                (_cpu_s(keeper) - cpu) / _SAMPLE_S,
+                (bench.count_bytes() - before) / _SAMPLE_S,
+                (bench.platform.reads - reads) / _SAMPLE_S,
+            )
+
+
+async def measure_proxy(reads: int, callers: int) -> ProxyCost:
+    """Return what a proxy takes for reads and for idle callers."""
+    async with _open_bench() as bench:
+        await bench.write_team(1)
+        async with _run_keeper(bench), _run_proxy(bench) as proxy:
+            target = Target(
+                'proxy',
+                _HOST,
+                bench.proxy_port,
+                'bench',
+                _PASSWORD,
+            )
+            first = await _open_caller(target)
+            await first.execute('SELECT 1')
+            await anyio.sleep(_SETTLE_S)
+            cpu = _cpu_s(proxy)
+            await anyio.sleep(_SAMPLE_S)
+            at_rest = (_cpu_s(proxy) - cpu) / _SAMPLE_S
+            cpu = _cpu_s(proxy)
+            for _ in range(reads):
+                await first.execute('SELECT 1')  # noqa: WPS476
+            used = _cpu_s(proxy) - cpu
+            resident = proxy.memory_info().rss
+            idle = [
+                await _open_caller(target)  # noqa: WPS476
+                for _ in range(callers)
+            ]
+            grown = proxy.memory_info().rss - resident
+            for caller in (first, *idle):
+                caller.close()
+            return ProxyCost(
+                resident / _MEGABYTE,
+                grown / callers,
+                used / reads * 1e6,
+                at_rest,
+                reads,
+            )
+
+
+async def _open_caller(target: Target) -> Any:
+    return await CallerConnection.open(target, '{0}/service-0'.format(_TEAM))
+
+
+@contextlib.asynccontextmanager
+async def _open_bench() -> AsyncIterator[_Bench]:
+    options = InstanceOptions(connections=1000)
+    platform = StandinPlatform()
+    async with StandinGroup(options=options) as group:
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(platform.serve)
+            meters = [
+                _Meter(address.port) for address in group.addresses().values()
+            ]
+            for meter in meters:
+                await meter.start()  # noqa: WPS476
+            yield _Bench(platform, meters)
+            tasks.cancel_scope.cancel()
+
+
+@contextlib.asynccontextmanager
+async def _run_keeper(bench: _Bench) -> AsyncIterator[psutil.Process]:
+    flags = {
+        'name': 'keeper',
+        'zone': _ZONE,
+        'port': bench.keeper_port,
+        'admin-port': bench.keeper_admin,
+        'store': bench.platform.address,
+        'teams': _TEAM,
+    }
+    async with _run('keeper', flags, bench.keeper_admin) as process:
+        yield process
+
+
+@contextlib.asynccontextmanager
+async def _run_proxy(bench: _Bench) -> AsyncIterator[psutil.Process]:
+    flags = {
+        'name': 'proxy',
+        'zone': _ZONE,
+        'port': bench.proxy_port,
+        'admin-port': bench.proxy_admin,
+        'keepers': 'keeper/{0}:{1}'.format(_HOST, bench.keeper_port),
+    }
+    async with _run('proxy', flags, bench.proxy_admin) as process:
+        yield process
+
+
+@contextlib.asynccontextmanager
+async def _run(
+    program: str,
+    flags: dict[str, object],
+    admin_port: int,
+) -> AsyncIterator[psutil.Process]:
+    arguments = ['--{0}={1}'.format(*flag) for flag in flags.items()]
+    command = [sys.executable, '-m', 'catkincrank', program, *arguments]
+    password = 'CATKINCRANK_PASSWORD_{0}'.format(_TEAM.upper())
+    environment = {**os.environ, password: _PASSWORD}
+    with open(os.devnull, 'wb') as sink:
+        process = await anyio.open_process(
+            command,
+            stdout=sink,
+            stderr=sys.stderr,
+            env=environment,
+        )
+    try:
+        await _await_ready(AdminAddress(_HOST, admin_port))
+        yield psutil.Process(process.pid)
+    finally:
+        process.kill()
+        with anyio.CancelScope(shield=True):
+            await process.wait()
+
+
+async def _await_ready(address: AdminAddress) -> None:
+    with anyio.fail_after(_READY_LIMIT_S):
+        while not await _is_ready(address):
+            await anyio.sleep(_POLL_S)
+
+
+async def _is_ready(address: AdminAddress) -> bool:
+    try:
+        await call(address, 'GET', '/ready')
+    except AdminError:
+        return False
+    return True
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    return sum(process.cpu_times()[:2])
+
+
+def _pick_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((_HOST, 0))
+        return probe.getsockname()[1]
--- a/catkincrank/programs.py
+++ b/catkincrank/programs.py
@@ -11,7 +11,16 @@
 from catkincrank.logs import configure_logs, log_event
 from catkincrank.options import parse_options
 
-__all__ = ('PROGRAMS', 'Program', 'load_program', 'run_program')
+__all__ = (
+    'PROGRAMS',
+    'Program',
+    'load_program',
+    'load_variants',
+    'run_program',
+)
+
+
+_VARIANT_PACKAGES = ('catkincrank.endpoints', 'catkincrank.acknowledgements')
 
 
 @final
@@ -41,6 +50,12 @@
     return module, getattr(module, program.options)
 
 
+def load_variants() -> None:
+    """Fill the registries of variants that settings name."""
+    for package in _VARIANT_PACKAGES:
+        importlib.import_module(package)
+
+
 def run_program(name: str, arguments: Sequence[str]) -> int:
     """Run a daemon until it is told to stop; return its exit status.
 
@@ -49,6 +64,7 @@
     """
     module, kind = load_program(name)
     options = parse_options(kind, arguments, os.environ)
+    load_variants()
     source = getattr(options, 'name', '') or name
     configure_logs(source)
     log_event('program_started', program=name, process_id=os.getpid())
--- a/catkincrank/proxyprogram.py
+++ b/catkincrank/proxyprogram.py
@@ -11,8 +11,15 @@
 from catkincrank.metrics import Metrics
 from catkincrank.proxy import Proxy, ProxyOptions, serve
 from catkincrank.proxystate import describe_proxy
+from catkincrank.shutdown import stop_at_signal
 
-__all__ = ('KeeperFlag', 'ProxyFlags', 'request_drain', 'run', 'serve_admin')
+__all__ = (
+    'KeeperFlag',
+    'ProxyFlags',
+    'drain_at_signal',
+    'run',
+    'serve_admin',
+)
 
 
 @final
@@ -62,30 +69,6 @@
     admin_port: int = 0
 
 
-@final
-class _Running:
-    """The proxy of this program, for signals."""
-
-    __slots__ = ('proxy',)
-
-    def __init__(self) -> None:
-        self.proxy: Proxy | None = None
-
-    async def keep(self, proxy: Proxy) -> None:
-        """Note the proxy that runs."""
-        self.proxy = proxy
-
-
-_running = _Running()
-
-
-def request_drain() -> list[str]:
-    """Begin to drain the proxy that runs; return what it waits for."""
-    if _running.proxy is None:
-        return []
-    return _running.proxy.request_drain()
-
-
 async def run(flags: ProxyFlags) -> None:
     """Run a proxy until it is cancelled or drained."""
     await serve(
@@ -97,11 +80,16 @@
             keepers=tuple(keeper.address for keeper in flags.keepers),
             environment=os.environ,
             drain_limit_s=flags.drain_limit_s,
-            extensions=(_running.keep, partial(serve_admin, flags)),
+            extensions=(drain_at_signal, partial(serve_admin, flags)),
         ),
     )
 
 
+async def drain_at_signal(proxy: Proxy) -> None:
+    """Drain a proxy at the first signal to stop."""
+    await stop_at_signal(proxy.request_drain)
+
+
 async def serve_admin(flags: ProxyFlags, proxy: Proxy) -> None:
     """Serve the admin port of a proxy."""
     metrics = Metrics()
