Add the load command and reports with plots

Cause: the same load has to run against any address, and its result has to be seen over time. Conclusion: both commands end with one JSON object.

--- a/catkincrank/commands/application.py
+++ b/catkincrank/commands/application.py
@@ -6,6 +6,7 @@
 
 from catkincrank import __version__
 from catkincrank.commands import (
+    callerload,
     check,
     drain,
     explain,
@@ -36,6 +37,7 @@
 app.command('drain')(drain.drain_process)
 app.command('status')(status.show_status)
 app.command('explain')(explain.explain_failover)
+app.command('load')(callerload.run_caller_load)
 app.command('try')(trial.try_deployment)
 
 
--- a/catkincrank/commands/trial.py
+++ b/catkincrank/commands/trial.py
@@ -10,6 +10,7 @@
 from loguru import logger
 from rich.console import Console
 
+from catkincrank.load.picture import RunPicture, write_report
 from catkincrank.load.presentation import show_trial, show_violations
 from catkincrank.load.profile import load_profile
 from catkincrank.load.trial import Trial, run_trial
@@ -29,6 +30,10 @@
         str,
         typer.Option(help='File for the JSON lines of all processes.'),
     ] = '',
+    report: Annotated[
+        str,
+        typer.Option(help='HTML or SVG file for the plots.'),
+    ] = '',
 ) -> None:
     """Run a deployment with faults; the last line is the result as JSON."""
     console = Console()
@@ -49,11 +54,27 @@
         raise _find_cause(group) from None
     show_violations(console, trial)
     show_trial(console, result)
-    typer.echo(msgspec.json.encode(result).decode('utf-8'))
+    encoded = msgspec.json.encode(result).decode('utf-8')
+    if report:
+        write_report(_picture(trial), encoded, report)
+    typer.echo(encoded)
     if not result.is_clean:
         raise typer.Exit(_FAILED)
 
 
+def _picture(trial: Trial) -> RunPicture:
+    return RunPicture(
+        trial.name,
+        trial.profile.services,
+        trial.tally,
+        [(at_s, step.action) for at_s, step in trial.steps],
+        [
+            (at - trial.started_at, is_replica)
+            for at, is_replica in trial.reads.places
+        ],
+    )
+
+
 def _find_cause(group: BaseExceptionGroup) -> BaseException:
     """Return the first error that is not a group."""
     first = group.exceptions[0]
--- a/catkincrank/load/observation.py
+++ b/catkincrank/load/observation.py
@@ -27,12 +27,12 @@
     Attributes:
         by_replicas: Reads that replicas served.
         by_primaries: Reads that primaries served.
-        places: Endpoint that served each request's newest read.
+        places: When each read ran, and whether on a replica.
     """
 
     by_replicas: int = 0
     by_primaries: int = 0
-    places: dict[str, bool] = field(default_factory=dict)
+    places: list[tuple[float, bool]] = field(default_factory=list)
 
     @property
     def replica_share(self) -> float:
@@ -69,7 +69,7 @@
         if request:
             self._record(seen, request, is_first=not owner)
             if seen.sql.startswith(_SELECT):
-                self._count(seen, request)
+                self._count(seen)
         elif owner and not seen.is_open:
             self._add(seen, owner, StatementPlace.LAST)
         if seen.is_open and (request or owner):
@@ -111,8 +111,9 @@
             ),
         )
 
-    def _count(self, seen: StatementSeen, request: str) -> None:
-        self._reads.places[request] = not seen.is_primary
+    def _count(self, seen: StatementSeen) -> None:
+        place = (anyio.current_time(), not seen.is_primary)
+        self._reads.places.append(place)
         if seen.is_primary:
             self._reads.by_primaries += 1
         else:
--- a/catkincrank/load/presentation.py
+++ b/catkincrank/load/presentation.py
@@ -5,10 +5,10 @@
 from rich.console import Console
 from rich.table import Table
 
-from catkincrank.load.summary import Latency
+from catkincrank.load.summary import Latency, LoadFigures
 from catkincrank.load.trial import Trial, TrialResult
 
-__all__ = ('show_trial', 'show_violations')
+__all__ = ('show_load', 'show_trial', 'show_violations')
 
 _MS_PER_S = 1000
 _SHOWN_VIOLATIONS = 5
@@ -22,6 +22,14 @@
     console.print(table)
 
 
+def show_load(console: Console, figures: LoadFigures) -> None:
+    """Print the figures of a load as a table."""
+    table = Table('measure', 'value')
+    for name, text in _list_load(figures).items():
+        table.add_row(name, text)
+    console.print(table)
+
+
 def show_violations(console: Console, trial: Trial) -> None:
     """Print the first violations of each broken promise."""
     for name, found in trial.violations.items():
@@ -30,21 +38,15 @@
 
 
 def _list_rows(result: TrialResult) -> Mapping[str, str]:
-    load = result.load
     return {
-        'requests': str(load.arrivals),
-        'without success by their deadline': str(load.unserved),
-        'writes acknowledged': str(result.writes_acknowledged),
+        **_list_load(result.load),
         'reads served by replicas': '{0:.1%}'.format(
             result.replica_read_share,
         ),
         'failover gaps': ', '.join(
             '{0:.2f} s'.format(gap) for gap in result.failover_gap_s
         ),
-        'read latency': _show_latency(load.reads),
-        'write latency': _show_latency(load.writes),
-        'refused, not run': str(result.refused_not_run),
-        'may have run': str(result.may_have_run),
+        'crashes': ', '.join(result.crashes) or 'none',
         **{
             'broken: {0}'.format(name): str(count)
             for name, count in result.invariants_broken.items()
@@ -52,6 +54,18 @@
     }
 
 
+def _list_load(load: LoadFigures) -> Mapping[str, str]:
+    return {
+        'requests': str(load.arrivals),
+        'without success by their deadline': str(load.unserved),
+        'writes acknowledged': str(load.writes_acknowledged),
+        'read latency': _show_latency(load.reads),
+        'write latency': _show_latency(load.writes),
+        'refused, not run': str(load.refused_not_run),
+        'may have run': str(load.may_have_run),
+    }
+
+
 def _show_latency(latency: Latency) -> str:
     return 'p50 {0:.1f} ms, p99 {1:.1f} ms, max {2:.1f} ms'.format(
         latency.p50 * _MS_PER_S,
--- a/catkincrank/load/trial.py
+++ b/catkincrank/load/trial.py
@@ -95,6 +95,7 @@
         steps: Fault steps and when they were taken, from the start.
         violations: Broken promises.
         crashes: Processes that ended by an error.
+        started_at: Start of the load on the runtime's clock.
     """
 
     name: str
@@ -107,6 +108,7 @@
     steps: list[tuple[float, FaultStep]] = field(default_factory=list)
     violations: dict[str, list[Violation]] = field(default_factory=dict)
     crashes: list[str] = field(default_factory=list)
+    started_at: float = 0
 
 
 async def run_trial(trial: Trial) -> TrialResult:
@@ -173,7 +175,7 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(script.run, started_at)
         tasks.start_soon(_show_progress, trial, script, started_at)
-        await run_load(run, trial.tally)
+        trial.started_at = await run_load(run, trial.tally)
         tasks.cancel_scope.cancel()
     trial.steps = [(at - started_at, step) for at, step in script.log]
     return anyio.current_time() - started_at
