--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,229 @@
+"""The two-year size of the users' letter, worked out from measured slopes."""
+
+from dataclasses import dataclass
+from typing import final
+
+from benchmarks.messagecosts import MessageCost
+from benchmarks.processcosts import KeeperCost, ProxyCost
+from benchmarks.relaycosts import RelayCost
+from benchmarks.statecosts import StateCosts
+
+__all__ = ('Figure', 'Size', 'Slopes', 'work_out')
+
+_DAY_S = 86400
+_MEGABYTE = 1048576
+_KILOBYTE = 1000
+_MICROSECOND = 1e-6
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Size:
+    """The size that the letter names, and how it is divided.
+
+    Attributes:
+        nodes: Entry VMs.
+        databases: Groups of three instances.
+        connections: Connections of callers.
+        statements_per_s: Statements of callers.
+        changes_per_day: Accepted changes of settings.
+        restarts_per_day: VMs that are restarted or replaced.
+        nodes_per_deployment: VMs that share one deployment, as today.
+        duty_keepers: Keepers that watch one group.
+        proxies_per_node: Proxy processes on a VM.
+        store_writes_per_change: Writes of the store for one change.
+    """
+
+    nodes: int = 2100
+    databases: int = 14000
+    connections: int = 18000000
+    statements_per_s: int = 16000000
+    changes_per_day: int = 11000
+    restarts_per_day: int = 1900
+    nodes_per_deployment: int = 8
+    duty_keepers: int = 3
+    proxies_per_node: int = 4
+    store_writes_per_change: int = 3
+
+    @property
+    def groups_served(self) -> float:
+        """Groups of one deployment, which each of its nodes serves."""
+        return self.databases * self.nodes_per_deployment / self.nodes
+
+    @property
+    def groups_on_duty(self) -> float:
+        """Groups that one keeper watches when duty is divided."""
+        return self.databases * self.duty_keepers / self.nodes
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Slopes:
+    """Everything that was measured.
+
+    Attributes:
+        messages: Cost of each kind of message.
+        state: Memory of one more of each thing.
+        keepers: Keepers by rising number of groups.
+        proxy: A proxy.
+        relays: Fleets by rising number of nodes.
+        relay_tick_us: Processor time of a relay's tick, in microseconds.
+        relay_push_us: Processor time of a push, in microseconds.
+    """
+
+    messages: dict[str, MessageCost]
+    state: StateCosts
+    keepers: tuple[KeeperCost, ...]
+    proxy: ProxyCost
+    relays: tuple[RelayCost, ...]
+    relay_tick_us: float
+    relay_push_us: float
+
+    @property
+    def cpu_per_group(self) -> float:
+        """Share of a core that one more watched group takes."""
+        first, last = self.keepers[0], self.keepers[-1]
+        return (last.cpu_share - first.cpu_share) / (last.groups - first.groups)
+
+    @property
+    def bytes_per_group(self) -> float:
+        """Payload per second that one more watched group takes."""
+        last = self.keepers[-1]
+        return last.endpoint_bytes_per_s / last.groups
+
+    @property
+    def resident_per_group_mb(self) -> float:
+        """Resident memory that one more watched group takes, in MB."""
+        first, last = self.keepers[0], self.keepers[-1]
+        grown = last.resident_mb - first.resident_mb
+        return grown / (last.groups - first.groups)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """One figure at the two-year size.
+
+    Attributes:
+        name: What it is.
+        amount: The figure.
+        bound: The letter's bound; ``None`` where it names none.
+        unit: Unit of both.
+    """
+
+    name: str
+    amount: float
+    bound: float | None
+    unit: str
+
+    @property
+    def share(self) -> float | None:
+        """The part of the bound that is used."""
+        return None if self.bound is None else self.amount / self.bound
+
+
+def work_out(size: Size, slopes: Slopes) -> list[Figure]:
+    """Return the figures at ``size``."""
+    return [
+        *_settings_figures(slopes),
+        *_keeper_figures(size, slopes),
+        *_proxy_figures(size, slopes),
+        *_store_figures(size, slopes),
+    ]
+
+
+def _settings_figures(slopes: Slopes) -> list[Figure]:
+    relay = slopes.relays[-1]
+    per_message = slopes.messages['SettingsDigest']
+    exchange_us = 2 * (per_message.encode_us + per_message.decode_us)
+    cpu = (4 * slopes.relay_tick_us + exchange_us) * _MICROSECOND
+    return [
+        Figure('settings in force, slowest node', relay.longest_s, 11, 's'),
+        Figure(
+            'relay, mean node',
+            relay.mean_bytes_per_s / _KILOBYTE,
+            3,
+            'KB/s',
+        ),
+        Figure(
+            'relay, busiest node',
+            relay.most_bytes_per_s / _KILOBYTE,
+            3,
+            'KB/s',
+        ),
+        Figure('relay processor', 100 * cpu, 1.8, '% of a core'),
+    ]
+
+
+def _keeper_figures(size: Size, slopes: Slopes) -> list[Figure]:
+    base = slopes.keepers[0]
+    figures = []
+    for label, groups in (
+        ('all groups served', size.groups_served),
+        ('groups on duty', size.groups_on_duty),
+    ):
+        watched = slopes.bytes_per_group * groups / _KILOBYTE
+        cpu = 100 * (base.cpu_share + slopes.cpu_per_group * groups)
+        resident = base.resident_mb + slopes.resident_per_group_mb * groups
+        figures.extend(
+            (
+                Figure('watching {0}'.format(label), watched, 3, 'KB/s'),
+                Figure(
+                    'keeper processor, {0}'.format(label),
+                    cpu,
+                    1.8,
+                    '% of a core',
+                ),
+                Figure(
+                    'keeper resident, {0}'.format(label),
+                    resident,
+                    32,
+                    'MB',
+                ),
+            ),
+        )
+    figures.append(Figure('keeper private', base.private_mb, 32, 'MB'))
+    return figures
+
+
+def _proxy_figures(size: Size, slopes: Slopes) -> list[Figure]:
+    statements = size.statements_per_s / size.nodes
+    callers = size.connections / size.nodes
+    proxy = slopes.proxy
+    feed = slopes.messages['FeedUpdate']
+    feed_us = feed.encode_us * size.proxies_per_node
+    feed_cpu = 4 * size.groups_served * feed_us * _MICROSECOND
+    memory = callers * proxy.bytes_per_caller / _MEGABYTE
+    return [
+        Figure('statements of a node', statements, None, '/s'),
+        Figure(
+            'cores for them',
+            statements * proxy.cpu_us_per_read * _MICROSECOND,
+            None,
+            'cores',
+        ),
+        Figure('callers of a node', callers, None, 'connections'),
+        Figure('memory for them', memory, None, 'MB'),
+        Figure(
+            "feeding the node's proxies, all groups",
+            100 * feed_cpu,
+            1.8,
+            '% of a core',
+        ),
+    ]
+
+
+def _store_figures(size: Size, slopes: Slopes) -> list[Figure]:
+    changes = size.changes_per_day / _DAY_S
+    starts = size.restarts_per_day * size.groups_served / _DAY_S
+    settings = slopes.relays[-1].store_reads_per_s
+    return [
+        Figure(
+            'store writes for settings',
+            changes * size.store_writes_per_change,
+            300,
+            '/s',
+        ),
+        Figure('store reads for settings', settings, 2000, '/s'),
+        Figure('store reads for restarts', starts, 2000, '/s'),
+    ]
--- a/benchmarks/processcosts.py
+++ b/benchmarks/processcosts.py
@@ -266,7 +266,7 @@
         process = await anyio.open_process(
             command,
             stdout=sink,
-            stderr=sys.stderr,
+            stderr=sink,
             env=environment,
         )
     try:
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,194 @@
+"""Measures the slopes that docs/CAPACITY.md rests on, and writes them down.
+
+``python -m benchmarks.slopes`` writes docs/capacity.json and
+docs/capacity.svg. ``--quick`` leaves the largest fleet and keeper out and
+writes into results/ instead.
+"""
+
+import argparse
+import platform
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import anyio
+import matplotlib as mpl
+import msgspec
+import psutil
+from loguru import logger
+from matplotlib import pyplot
+
+from benchmarks.capacity import Figure, Size, Slopes, work_out
+from benchmarks.messagecosts import measure_messages
+from benchmarks.processcosts import measure_keeper, measure_proxy
+from benchmarks.relaycosts import (
+    RelayLoad,
+    measure_relay,
+    measure_relay_steps,
+)
+from benchmarks.statecosts import measure_state
+
+_LETTER_RATE = 11000 / 86400
+_GROUPS = (0, 4, 8, 16)
+_FLEETS = (
+    RelayLoad(3, 8, _LETTER_RATE, 240),
+    RelayLoad(23, 8, _LETTER_RATE, 240),
+    RelayLoad(23, 91, _LETTER_RATE, 120),
+    RelayLoad(23, 91, 1, 20),
+)
+_READS = 3000
+_CALLERS = 400
+_BOUND = 1
+_LEAST_SHARE = 0.0005
+_BOUND_STYLE = {'color': 'tab:red', 'linestyle': ':'}  # noqa: WPS407
+
+
+def main() -> None:
+    """Measure, work out and write."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--quick', action='store_true')
+    is_quick = parser.parse_args().quick
+    logger.remove()
+    slopes = _measure(is_quick=is_quick)
+    figures = work_out(Size(), slopes)
+    folder = Path('results' if is_quick else 'docs')
+    folder.mkdir(exist_ok=True)
+    _write(folder / 'capacity.json', slopes, figures)
+    _plot(folder / 'capacity.svg', slopes, figures)
+    for figure in figures:
+        sys.stdout.write('{0}\n'.format(_describe(figure)))
+
+
+def _measure(*, is_quick: bool) -> Slopes:
+    keepers = _GROUPS[:2] if is_quick else _GROUPS
+    fleets = _FLEETS[:2] if is_quick else _FLEETS
+    tick_us, push_us = measure_relay_steps()
+    return Slopes(
+        measure_messages(),
+        measure_state(),
+        tuple(anyio.run(measure_keeper, groups) for groups in keepers),
+        anyio.run(measure_proxy, _READS, _CALLERS),
+        tuple(measure_relay(load) for load in fleets),
+        tick_us,
+        push_us,
+    )
+
+
+def _write(path: Path, slopes: Slopes, figures: list[Figure]) -> None:
+    content = {
+        'machine': {
+            'processors': psutil.cpu_count(),
+            'python': platform.python_version(),
+            'load_average': psutil.getloadavg()[0],
+        },
+        'commit': _find_commit(),
+        'slopes': msgspec.to_builtins(slopes),
+        'figures': [
+            {**msgspec.to_builtins(figure), 'share_of_bound': figure.share}
+            for figure in figures
+        ],
+    }
+    encoded = msgspec.json.format(msgspec.json.encode(content), indent=1)
+    path.write_bytes(b'%b\n' % encoded)
+
+
+def _find_commit() -> str:
+    found = subprocess.run(
+        ('git', 'rev-parse', '--short', 'HEAD'),
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    return found.stdout.strip()
+
+
+def _plot(path: Path, slopes: Slopes, figures: list[Figure]) -> None:
+    mpl.rcParams['svg.hashsalt'] = 'catkincrank'
+    chart, panels = pyplot.subplots(2, 2, figsize=(11, 8))
+    _plot_keepers(panels[0][0], slopes)
+    _plot_spread(panels[0][1], slopes)
+    _plot_bytes(panels[1][0], slopes)
+    _plot_shares(panels[1][1], figures)
+    chart.tight_layout()
+    chart.savefig(path, metadata={'Date': None})
+    pyplot.close(chart)
+
+
+def _plot_keepers(axes: Any, slopes: Slopes) -> None:
+    groups = [keeper.groups for keeper in slopes.keepers]
+    axes.plot(
+        groups,
+        [keeper.resident_mb for keeper in slopes.keepers],
+        marker='o',
+        label='resident MB',
+    )
+    axes.plot(
+        groups,
+        [100 * keeper.cpu_share for keeper in slopes.keepers],
+        marker='s',
+        label='% of a core',
+    )
+    axes.axhline(32, **_BOUND_STYLE)
+    axes.axhline(1.8, **_BOUND_STYLE)
+    axes.set_xlabel('groups watched')
+    axes.set_title('A keeper at rest (bounds dotted)')
+    axes.legend()
+
+
+def _plot_spread(axes: Any, slopes: Slopes) -> None:
+    relays = [relay for relay in slopes.relays if relay.changes_per_s < 1]
+    nodes = [relay.nodes for relay in relays]
+    for label, seconds in (
+        ('median', [relay.median_s for relay in relays]),
+        ('slowest node', [relay.longest_s for relay in relays]),
+    ):
+        axes.plot(nodes, seconds, marker='o', label=label)
+    axes.axhline(11, **_BOUND_STYLE)
+    axes.set_xscale('log')
+    axes.set_xlabel('nodes')
+    axes.set_ylabel('s')
+    axes.set_title('Settings: accepted to in force')
+    axes.legend()
+
+
+def _plot_bytes(axes: Any, slopes: Slopes) -> None:
+    relays = [relay for relay in slopes.relays if relay.changes_per_s < 1]
+    nodes = [relay.nodes for relay in relays]
+    for label, rates in (
+        ('mean node', [relay.mean_bytes_per_s for relay in relays]),
+        ('busiest node', [relay.most_bytes_per_s for relay in relays]),
+    ):
+        axes.plot(nodes, rates, marker='o', label=label)
+    axes.axhline(3000, **_BOUND_STYLE)
+    axes.set_xscale('log')
+    axes.set_xlabel('nodes')
+    axes.set_ylabel('bytes/s, both ways')
+    axes.set_title('Relay traffic of a node')
+    axes.legend()
+
+
+def _plot_shares(axes: Any, figures: list[Figure]) -> None:
+    bounded = [figure for figure in figures if figure.share is not None]
+    shares = [max(figure.share or 0, _LEAST_SHARE) for figure in bounded]
+    colours = ['tab:red' if share > _BOUND else 'tab:green' for share in shares]
+    axes.barh([figure.name for figure in bounded], shares, color=colours)
+    axes.axvline(_BOUND, **_BOUND_STYLE)
+    axes.set_xscale('log')
+    axes.invert_yaxis()
+    axes.tick_params(axis='y', labelsize=7)
+    axes.set_title('Share of the bound at the two-year size')
+
+
+def _describe(figure: Figure) -> str:
+    bound = '' if figure.bound is None else ' of {0:g}'.format(figure.bound)
+    return '{0:<45} {1:>12.4g}{2} {3}'.format(
+        figure.name,
+        figure.amount,
+        bound,
+        figure.unit,
+    )
+
+
+if __name__ == '__main__':
+    main()
