--- /dev/null
+++ b/catkincrank/failoveractions.py
@@ -0,0 +1,157 @@
+"""Actions that a failover asks for, and the events that answer them."""
+
+from dataclasses import dataclass
+from typing import final
+
+from catkincrank.instance import Ballot, InstanceStatus
+
+__all__ = (
+    'Action',
+    'Claim',
+    'ClaimRecord',
+    'Done',
+    'Failed',
+    'Follow',
+    'InstanceAction',
+    'Note',
+    'Promote',
+    'Read',
+    'ReadClaim',
+    'Seal',
+)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ClaimRecord:
+    """Row of a group in the store.
+
+    Attributes:
+        term: Highest term that was claimed.
+        keeper: Keeper that claimed it.
+        primary: Endpoint that began the term; empty until it has.
+        position: Where the term began.
+        version: Version of the row; 0 stands for no row.
+    """
+
+    term: int = 0
+    keeper: str = ''
+    primary: str = ''
+    position: int = 0
+    version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Action:
+    """Something to do outside; its answer comes back as an event."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ReadClaim(Action):
+    """Read the group's row from the store."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Claim(Action):
+    """Write the group's row if its version is still the one expected.
+
+    Attributes:
+        record: What to write; its version is the one expected.
+    """
+
+    record: ClaimRecord
+
+
+@dataclass(frozen=True, slots=True)
+class InstanceAction(Action):
+    """Something to ask of one instance.
+
+    Attributes:
+        endpoint: The instance.
+        ballot: The ballot under which it is asked.
+    """
+
+    endpoint: str
+    ballot: Ballot
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Read(InstanceAction):
+    """Read the instance's status."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Seal(InstanceAction):
+    """Seal the instance to the ballot."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Promote(InstanceAction):
+    """Promote the instance, if it is still sealed to the ballot."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Follow(InstanceAction):
+    """Let the instance follow ``primary``.
+
+    Attributes:
+        primary: Endpoint of the primary.
+    """
+
+    primary: str
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Note(Action):
+    """Record a decision in the journal and the log.
+
+    Attributes:
+        name: Name of the event.
+        cause: Why the decision came up.
+        outcome: What was decided.
+        evidence: What it rests on.
+    """
+
+    name: str
+    cause: str
+    outcome: str
+    evidence: tuple[tuple[str, str], ...] = ()
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Done:
+    """An action was answered.
+
+    Attributes:
+        action: The action.
+        status: The instance's status; ``None`` for actions on the store.
+        record: The store's row; ``None`` for actions on instances.
+    """
+
+    action: Action
+    status: InstanceStatus | None = None
+    record: ClaimRecord | None = None
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """An action was not answered, or was refused.
+
+    Attributes:
+        action: The action.
+        reason: What went wrong.
+        is_conflict: Whether the store's row has another version.
+    """
+
+    action: Action
+    reason: str
+    is_conflict: bool = False
--- /dev/null
+++ b/catkincrank/failoversteps.py
@@ -0,0 +1,346 @@
+"""The steps of a failover; importing this module registers them."""
+
+from typing import final
+
+from catkincrank.failover import Failover, Phase, Step, steps
+from catkincrank.failoveractions import (
+    Action,
+    Claim,
+    ClaimRecord,
+    Done,
+    Failed,
+    Follow,
+    InstanceAction,
+    Promote,
+    Read,
+    ReadClaim,
+    Seal,
+)
+from catkincrank.instance import Ballot, InstanceStatus, Role
+from catkincrank.quorum import (
+    Choice,
+    choose_successor,
+    count_seal_quorum,
+    find_held_mark,
+    needs_claim,
+)
+
+__all__ = (
+    'CatchUpStep',
+    'ClaimStep',
+    'FollowStep',
+    'PromoteStep',
+    'SealStep',
+    'WaitStep',
+)
+
+_STORE_LIMIT_S = 0.4
+_GRACE_S = 0.25
+_RETRY_S = 0.2
+_UNKNOWN_LIMIT_S = 2.0
+_CATCH_UP_LIMIT_S = 1.0
+_PROMOTE_LIMIT_S = 3.0
+_FOLLOW_LIMIT_S = 0.5
+_PROMOTE_ANYWAY = 'promote'
+
+
+@steps.register(Phase.CLAIM.value)
+@final
+class ClaimStep(Step):
+    """Claims the term in the store, which orders keepers while it is up."""
+
+    def begin(self, now: float) -> list[Action]:
+        """Ask for the group's row."""
+        return [ReadClaim()]
+
+    def handle_done(self, done: Done, now: float) -> list[Action]:
+        """Claim a term beyond the row's, then seal."""
+        if done.record is None:
+            return []
+        self.attempt.record = done.record
+        if isinstance(done.action, Claim):
+            return self.attempt.enter(Phase.SEAL, now)
+        return self._claim(done.record, now)
+
+    def handle_failed(self, failed: Failed, now: float) -> list[Action]:
+        """Yield to a rival; go on without a store that is out."""
+        if isinstance(failed.action, InstanceAction):
+            return []
+        if failed.is_conflict:
+            return self.attempt.abandon('another keeper claims a term', now)
+        return self._go_without(failed.reason, now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Go on without a store that is slow."""
+        if now < self.began_at + _STORE_LIMIT_S:
+            return []
+        return self._go_without('the store does not answer', now)
+
+    def _claim(self, found: ClaimRecord, now: float) -> list[Action]:
+        plan = self.attempt.plan
+        is_new = found.version != plan.known_version
+        if is_new and found.keeper != plan.keeper and found.term >= plan.term:
+            return self.attempt.abandon('another keeper claimed a term', now)
+        term = max(plan.term, found.term + 1)
+        self.attempt.ballot = Ballot(term, plan.keeper)
+        return [Claim(ClaimRecord(term, plan.keeper, version=found.version))]
+
+    def _go_without(self, reason: str, now: float) -> list[Action]:
+        attempt = self.attempt
+        if needs_claim(len(attempt.plan.members)):
+            return attempt.abandon(
+                'an even group needs the store: {0}'.format(reason),
+                now,
+            )
+        note = attempt.make_note(
+            'claim_skipped',
+            reason,
+            'going on without the store',
+        )
+        return [note, *attempt.enter(Phase.SEAL, now)]
+
+
+@steps.register(Phase.SEAL.value)
+@final
+class SealStep(Step):
+    """Seals instances until a quorum is known, and chooses the fullest."""
+
+    def __init__(self, attempt: Failover, now: float) -> None:
+        super().__init__(attempt, now)
+        self._retry_at = now + _RETRY_S
+        self._has_waited = False
+
+    def begin(self, now: float) -> list[Action]:
+        """Seal every instance."""
+        attempt = self.attempt
+        return [Seal(name, attempt.ballot) for name in attempt.plan.members]
+
+    def handle_done(self, done: Done, now: float) -> list[Action]:
+        """Count an instance that is sealed to this ballot."""
+        attempt = self.attempt
+        status = done.status
+        if status is None or not isinstance(done.action, Seal):
+            return []
+        if status.sealed != attempt.ballot:
+            attempt.unreached.add(status.endpoint)
+            return self._choose(now)
+        if status.term >= attempt.ballot.term:
+            return attempt.abandon('the term has already begun', now)
+        attempt.sealed[status.endpoint] = status
+        if len(attempt.sealed) >= count_seal_quorum(len(attempt.plan.members)):
+            attempt.quorum_at = min(attempt.quorum_at, now)
+        return self._choose(now)
+
+    def handle_failed(self, failed: Failed, now: float) -> list[Action]:
+        """Note an instance that does not answer."""
+        if not isinstance(failed.action, Seal):
+            return []
+        self.attempt.unreached.add(failed.action.endpoint)
+        return self._choose(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Ask again those that failed; choose when it is time."""
+        chosen = self._choose(now)
+        if self.attempt.phase is not Phase.SEAL or now < self._retry_at:
+            return chosen
+        self._retry_at = now + _RETRY_S
+        return [*chosen, *self._retry()]
+
+    def _retry(self) -> list[Action]:
+        attempt = self.attempt
+        missing = attempt.unreached.difference(attempt.sealed)
+        return [Seal(name, attempt.ballot) for name in sorted(missing)]
+
+    def _choose(self, now: float) -> list[Action]:
+        attempt = self.attempt
+        members = attempt.plan.members
+        choice = choose_successor(attempt.sealed, len(members))
+        if now < attempt.quorum_at or choice is None:
+            return self._consider_unknown(choice, now)
+        met = {*attempt.sealed, *attempt.unreached}
+        if met.issuperset(members) or now >= attempt.quorum_at + _GRACE_S:
+            return self._take(choice, now)
+        return []
+
+    def _take(self, choice: Choice, now: float) -> list[Action]:
+        self.attempt.choice = choice
+        next_phase = Phase.CATCH_UP if choice.source else Phase.WAIT
+        return self.attempt.enter(next_phase, now)
+
+    def _consider_unknown(
+        self,
+        choice: Choice | None,
+        now: float,
+    ) -> list[Action]:
+        if now < self.began_at + _UNKNOWN_LIMIT_S:
+            return []
+        rule = self.attempt.plan.on_unknown_position
+        may_promote = rule == _PROMOTE_ANYWAY and choice is not None
+        actions: list[Action] = []
+        if not self._has_waited:
+            self._has_waited = True
+            actions.append(self._note_unknown(may_promote=may_promote))
+        if may_promote and choice is not None:
+            actions.extend(self._take(choice, now))
+        return actions
+
+    def _note_unknown(self, *, may_promote: bool) -> Action:
+        return self.attempt.make_note(
+            'position_unknown',
+            'too few instances answer to know the fullest',
+            'promoting the fullest known' if may_promote else 'waiting',
+        )
+
+
+@steps.register(Phase.CATCH_UP.value)
+@final
+class CatchUpStep(Step):
+    """Lets the successor copy what only a sealed old primary holds."""
+
+    def begin(self, now: float) -> list[Action]:
+        """Let the successor stream from the old primary."""
+        choice = self.attempt.choice
+        if choice is None:
+            return []
+        return [Follow(choice.target, self.attempt.ballot, choice.source)]
+
+    def handle_done(self, done: Done, now: float) -> list[Action]:
+        """Go on once the successor holds everything."""
+        choice = self.attempt.choice
+        status = done.status
+        if choice is None or status is None:
+            return []
+        if status.endpoint != choice.target:
+            return []
+        if find_held_mark(status) < choice.mark:
+            return []
+        self.attempt.sealed[status.endpoint] = status
+        return self.attempt.enter(Phase.WAIT, now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Look again, and decide when it takes too long."""
+        choice = self.attempt.choice
+        if choice is None:
+            return []
+        if now < self.began_at + _CATCH_UP_LIMIT_S:
+            return [Read(choice.target, self.attempt.ballot)]
+        rule = self.attempt.plan.on_unknown_position
+        if choice.is_covered or rule == _PROMOTE_ANYWAY:
+            return self.attempt.enter(Phase.WAIT, now)
+        return self.attempt.abandon('the old primary could not be copied', now)
+
+
+@steps.register(Phase.WAIT.value)
+@final
+class WaitStep(Step):
+    """Waits until no time-bounded confirmation of an older term counts."""
+
+    def begin(self, now: float) -> list[Action]:
+        """Go on at once where there is nothing to wait for."""
+        return self.tick(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Go on when the time is over."""
+        sealed_at = min(self.attempt.quorum_at, self.began_at)
+        if now < sealed_at + self.attempt.plan.validity_s:
+            return []
+        return self.attempt.enter(Phase.PROMOTE, now)
+
+
+@steps.register(Phase.PROMOTE.value)
+@final
+class PromoteStep(Step):
+    """Promotes the chosen instance, and looks again when in doubt."""
+
+    def __init__(self, attempt: Failover, now: float) -> None:
+        super().__init__(attempt, now)
+        self._retry_at = now + _RETRY_S
+
+    def begin(self, now: float) -> list[Action]:
+        """Promote."""
+        choice = self.attempt.choice
+        if choice is None:
+            return []
+        return [Promote(choice.target, self.attempt.ballot)]
+
+    def handle_done(self, done: Done, now: float) -> list[Action]:
+        """Go on when the instance is the primary of the term."""
+        choice = self.attempt.choice
+        status = done.status
+        if choice is None or status is None:
+            return []
+        if status.endpoint != choice.target:
+            return []
+        if status.role is Role.PRIMARY and status.sealed == self.attempt.ballot:
+            return self._succeed(status, now)
+        if isinstance(done.action, Read):
+            return self.begin(now)
+        return []
+
+    def tick(self, now: float) -> list[Action]:
+        """Read the instance's status when no answer came."""
+        choice = self.attempt.choice
+        if now >= self.began_at + _PROMOTE_LIMIT_S or choice is None:
+            return self.attempt.abandon('the promotion was not answered', now)
+        if now < self._retry_at:
+            return []
+        self._retry_at = now + _RETRY_S
+        return [Read(choice.target, self.attempt.ballot)]
+
+    def _succeed(self, status: InstanceStatus, now: float) -> list[Action]:
+        attempt = self.attempt
+        attempt.promoted = status
+        attempt.outcome = '{0} begins term {1} at {2}'.format(
+            status.endpoint,
+            status.term,
+            status.history.starts[-1].position,
+        )
+        note = attempt.make_note(
+            'promotion',
+            attempt.plan.cause,
+            attempt.outcome,
+        )
+        return [note, *attempt.enter(Phase.FOLLOW, now)]
+
+
+@steps.register(Phase.FOLLOW.value)
+@final
+class FollowStep(Step):
+    """Lets the other instances follow the new primary."""
+
+    def __init__(self, attempt: Failover, now: float) -> None:
+        super().__init__(attempt, now)
+        self._missing = set(attempt.plan.members)
+
+    def begin(self, now: float) -> list[Action]:
+        """Let every other instance follow."""
+        attempt = self.attempt
+        if attempt.promoted is None:
+            return []
+        primary = attempt.promoted.endpoint
+        self._missing.discard(primary)
+        return [
+            Follow(name, attempt.ballot, primary)
+            for name in sorted(self._missing)
+        ]
+
+    def handle_done(self, done: Done, now: float) -> list[Action]:
+        """End when all have answered."""
+        return self._settle(done.action, now)
+
+    def handle_failed(self, failed: Failed, now: float) -> list[Action]:
+        """Leave an instance that does not answer to later repair."""
+        return self._settle(failed.action, now)
+
+    def tick(self, now: float) -> list[Action]:
+        """End when it takes too long."""
+        if now < self.began_at + _FOLLOW_LIMIT_S:
+            return []
+        return self.attempt.enter(Phase.SUCCEEDED, now)
+
+    def _settle(self, action: Action, now: float) -> list[Action]:
+        if isinstance(action, Follow):
+            self._missing.discard(action.endpoint)
+        if self._missing:
+            return []
+        return self.attempt.enter(Phase.SUCCEEDED, now)
--- /dev/null
+++ b/catkincrank/supervision.py
@@ -0,0 +1,327 @@
+"""What one keeper decides about one group: wait, repair, or fail over.
+
+Takes in what watches see and what other keepers report, and gives actions. No
+I/O; the time comes in with each call.
+"""
+
+import random
+from dataclasses import dataclass
+from typing import final
+
+from catkincrank import failoversteps as _failoversteps  # noqa: F401
+from catkincrank.confirmation import Confirmation, PeerReport
+from catkincrank.failover import Failover, FailoverPlan, Phase
+from catkincrank.failoveractions import (
+    Action,
+    Claim,
+    ClaimRecord,
+    Done,
+    Failed,
+    Note,
+    ReadClaim,
+)
+from catkincrank.instance import InstanceStatus
+from catkincrank.quorum import count_seal_quorum
+from catkincrank.repair import Repair
+from catkincrank.suspicion import ClockGuard, Suspicion
+from catkincrank.trouble import Trouble, find_primary, find_trouble
+
+__all__ = ('Report', 'Supervision', 'SupervisionOptions')
+
+_RANK_DELAY_S = 0.5
+_REACHABLE_SILENCE_S = 1.0
+_BACK_OFF_S = (0.3, 0.9)
+_PATIENCE_S = 5.0
+_PROMOTE_ANYWAY = 'promote'
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Report(Action):
+    """Tell the group's other keepers what is suspected.
+
+    Attributes:
+        endpoint: The instance; empty when no primary can be found.
+        silent_s: For how long, in seconds.
+    """
+
+    endpoint: str
+    silent_s: float
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class SupervisionOptions:
+    """What a supervision is told at its start.
+
+    Attributes:
+        members: Names of the group's instances.
+        keeper: Name of the keeper and its incarnation.
+        zone: Availability zone of the keeper.
+        on_unknown_position: ``wait`` or ``promote``, see the settings.
+        validity_s: How long a time-bounded confirmation counts; 0 for none.
+        rank: Place of the keeper among those that have duty for the group.
+    """
+
+    members: tuple[str, ...]
+    keeper: str
+    zone: str
+    on_unknown_position: str = 'wait'
+    validity_s: float = 0
+    rank: int = 0
+
+
+@final
+class Supervision:
+    """State of one keeper about one group.
+
+    Args:
+        options: What it is told at its start.
+        now: The time, in seconds.
+        chance: Source of random delays.
+    """
+
+    def __init__(
+        self,
+        options: SupervisionOptions,
+        now: float,
+        chance: random.Random,
+    ) -> None:
+        self.options = options
+        self.failover: Failover | None = None
+        self.trouble: Trouble | None = None
+        self.statuses: dict[str, InstanceStatus] = {}
+        self.suspicions = {name: Suspicion() for name in options.members}
+        self.record = ClaimRecord()
+        self._confirmation = Confirmation(options.zone)
+        self._chance = chance
+        self._guard = ClockGuard(now)
+        self._repair = Repair(options.rank)
+        self._highest_term = 0
+        self._idle_until = now
+        self._has_waited = False
+
+    def ask(self, endpoint: str, now: float) -> None:
+        """Take in that an instance was asked for its status."""
+        self.suspicions[endpoint].ask(now)
+
+    def hear(self, status: InstanceStatus, now: float) -> None:
+        """Take in an instance's status."""
+        self.suspicions[status.endpoint].hear(now)
+        self.statuses[status.endpoint] = status
+
+    def fail(self, endpoint: str, reason: str) -> None:
+        """Take in that an instance did not answer."""
+        self.suspicions[endpoint].fail(reason)
+
+    def hear_report(self, endpoint: str, report: PeerReport) -> None:
+        """Take in another keeper's suspicion."""
+        self._confirmation.hear(endpoint, report)
+
+    def handle(self, event: Done | Failed, now: float) -> list[Action]:
+        """Take in the answer to an action; return what to do next."""
+        if isinstance(event, Done):
+            if event.status is not None:
+                self.hear(event.status, now)
+            if event.record is not None:
+                self.record = event.record
+        if self.failover is None:
+            return []
+        return self._follow_up(self.failover.handle(event, now), now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Return what the passing of time calls for."""
+        paused_s = self._guard.tick(now)
+        if paused_s:
+            return self._forget_evidence(paused_s, now)
+        if self.failover is not None:
+            return self._follow_up(self.failover.tick(now), now)
+        actions = self._update_trouble(now)
+        if self.trouble is None:
+            return actions + self._repair.tick(
+                self.statuses,
+                self._list_reachable(now),
+                now,
+            )
+        return actions + self._consider(self.trouble, now)
+
+    def _forget_evidence(self, paused_s: float, now: float) -> list[Action]:
+        for suspicion in self.suspicions.values():
+            suspicion.discard(now)
+        self._confirmation.forget()
+        self.trouble = None
+        note = Note(
+            'evidence_dropped',
+            'this keeper stood still',
+            'silence is counted anew',
+            (('paused_s', '{0:.3f}'.format(paused_s)),),
+        )
+        return [note]
+
+    def _update_trouble(self, now: float) -> list[Action]:
+        found = find_trouble(
+            self.options.members,
+            self.statuses,
+            self.suspicions,
+            now,
+        )
+        before = self.trouble
+        if found is not None and before is not None:
+            if (found.kind, found.endpoint) == (before.kind, before.endpoint):
+                return []
+        self.trouble = found
+        self._confirmation.reset()
+        self._has_waited = False
+        return self._note_trouble(before, now)
+
+    def _note_trouble(
+        self,
+        before: Trouble | None,
+        now: float,
+    ) -> list[Action]:
+        if self.trouble is not None:
+            note = Note(
+                'suspicion',
+                self.trouble.kind.value,
+                'suspected: {0}'.format(self.trouble.endpoint or 'no primary'),
+                _describe_silences(self.suspicions, self.statuses, now),
+            )
+            return [note, ReadClaim()]
+        if before is None:
+            return []
+        note = Note(
+            'suspicion_cleared',
+            before.kind.value,
+            'well again: {0}'.format(before.endpoint or 'a primary is known'),
+            _describe_silences(self.suspicions, self.statuses, now),
+        )
+        return [note]
+
+    def _consider(self, trouble: Trouble, now: float) -> list[Action]:
+        if now < trouble.due_at:
+            return []
+        actions: list[Action] = []
+        is_needed = trouble.kind.needs_confirmation
+        if is_needed and self._confirmation.is_report_due(now):
+            actions.append(Report(trouble.endpoint, now - trouble.since))
+        if not self._confirmation.check(
+            trouble.endpoint,
+            now,
+            is_needed=is_needed,
+        ):
+            return actions
+        confirmed_at = self._confirmation.confirmed_at
+        due_at = confirmed_at + _RANK_DELAY_S * self.options.rank
+        if now < max(due_at, self._idle_until):
+            return actions
+        if self._can_begin(now):
+            return actions + self._begin(trouble, now)
+        return actions + self._wait_for_quorum(trouble, now)
+
+    def _can_begin(self, now: float) -> bool:
+        reachable = len(self._list_reachable(now))
+        if reachable >= count_seal_quorum(len(self.options.members)):
+            return True
+        patience_over_at = self._confirmation.confirmed_at + _PATIENCE_S
+        rule = self.options.on_unknown_position
+        return (
+            reachable > 0
+            and rule == _PROMOTE_ANYWAY
+            and now >= patience_over_at
+        )
+
+    def _wait_for_quorum(self, trouble: Trouble, now: float) -> list[Action]:
+        if self._has_waited:
+            return []
+        self._has_waited = True
+        note = Note(
+            'failover_waits',
+            trouble.kind.value,
+            'too few instances answer to know the fullest',
+            _describe_silences(self.suspicions, self.statuses, now),
+        )
+        return [note]
+
+    def _begin(self, trouble: Trouble, now: float) -> list[Action]:
+        zones = self._confirmation.list_zones(trouble.endpoint, now)
+        plan = FailoverPlan(
+            self.options.members,
+            self.options.keeper,
+            self._find_free_term(),
+            trouble.kind.value,
+            (
+                ('zones', ', '.join(zones)),
+                *_describe_silences(self.suspicions, self.statuses, now),
+            ),
+            self.options.on_unknown_position,
+            self.options.validity_s,
+            self.record.version,
+        )
+        self.failover = Failover(plan)
+        return self.failover.start(now)
+
+    def _find_free_term(self) -> int:
+        terms = [self._highest_term]
+        for status in self.statuses.values():
+            terms.append(status.term)
+            terms.append(status.sealed.term if status.sealed else 0)
+        return max(terms) + 1
+
+    def _follow_up(self, actions: list[Action], now: float) -> list[Action]:
+        """Close an attempt that is over."""
+        failover = self.failover
+        if failover is None or not failover.is_over:
+            return actions
+        self.failover = None
+        self.trouble = None
+        self._confirmation.reset()
+        self._highest_term = max(self._highest_term, failover.highest_term)
+        self._idle_until = now + self._chance.uniform(*_BACK_OFF_S)
+        if failover.phase is Phase.SUCCEEDED and failover.promoted:
+            record = _make_record(
+                self.options.keeper,
+                failover,
+                failover.promoted,
+            )
+            return [*actions, Claim(record)]
+        return actions
+
+    def _list_reachable(self, now: float) -> tuple[str, ...]:
+        return tuple(
+            name
+            for name in self.options.members
+            if name in self.statuses
+            and self.suspicions[name].silence_s(now) < _REACHABLE_SILENCE_S
+        )
+
+
+def _describe_silences(
+    suspicions: dict[str, Suspicion],
+    statuses: dict[str, InstanceStatus],
+    now: float,
+) -> tuple[tuple[str, str], ...]:
+    silences = tuple(
+        (
+            'silence {0}'.format(name),
+            '{0:.2f} s {1}'.format(
+                suspicion.silence_s(now),
+                suspicion.reason,
+            ).strip(),
+        )
+        for name, suspicion in suspicions.items()
+    )
+    return (('primary', find_primary(statuses)), *silences)
+
+
+def _make_record(
+    keeper: str,
+    failover: Failover,
+    promoted: InstanceStatus,
+) -> ClaimRecord:
+    return ClaimRecord(
+        promoted.term,
+        keeper,
+        promoted.endpoint,
+        promoted.history.starts[-1].position,
+        failover.record.version,
+    )
--- /dev/null
+++ b/catkincrank/trouble.py
@@ -0,0 +1,113 @@
+"""What may be wrong with a group, judged from its instances' statuses."""
+
+import enum
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from typing import final
+
+from catkincrank.instance import InstanceStatus, Role
+from catkincrank.quorum import count_acknowledgement_quorum
+from catkincrank.suspicion import SUSPICION_S, Suspicion
+
+__all__ = ('Trouble', 'TroubleKind', 'find_primary', 'find_trouble')
+
+_UNFINISHED_HOLD_S = 1.0
+_LEFT_BEHIND_HOLD_S = 3.0
+_DOUBT_S = 1.0
+
+
+@final
+class TroubleKind(enum.Enum):
+    """Why a primary may have to be replaced."""
+
+    SILENT = 'the primary does not answer'
+    MISSING = 'no primary is known'
+    UNFINISHED = 'a promotion was begun and not finished'
+    LEFT_BEHIND = 'a replica is sealed to a term that never began'
+
+    @property
+    def needs_confirmation(self) -> bool:
+        """Whether a keeper of another zone has to agree.
+
+        Seals are read from the instances themselves, silence is not.
+        """
+        return self in {TroubleKind.SILENT, TroubleKind.MISSING}
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Trouble:
+    """A reason to replace a primary.
+
+    Attributes:
+        kind: What is wrong.
+        endpoint: The primary; empty when none is known.
+        since: Since when, in seconds.
+        due_at: When it has lasted long enough.
+    """
+
+    kind: TroubleKind
+    endpoint: str
+    since: float
+    due_at: float
+
+
+def find_primary(statuses: Mapping[str, InstanceStatus]) -> str:
+    """Return the primary of the newest term; empty when it is not known."""
+    newest = max((status.term for status in statuses.values()), default=0)
+    followed = ''
+    for status in statuses.values():
+        if status.term != newest:
+            continue
+        if status.role is Role.PRIMARY:
+            return status.endpoint
+        followed = followed or status.follows
+    return followed
+
+
+def find_trouble(
+    members: Sequence[str],
+    statuses: Mapping[str, InstanceStatus],
+    suspicions: Mapping[str, Suspicion],
+    now: float,
+) -> Trouble | None:
+    """Return what is wrong with a group; ``None`` when nothing is."""
+    if len(members) < 2 or not statuses:
+        return None
+    name = find_primary(statuses)
+    primary = statuses.get(name)
+    if name in suspicions:
+        silence_s = suspicions[name].silence_s(now)
+        if suspicions[name].is_suspect(now):
+            return Trouble(TroubleKind.SILENT, name, now - silence_s, now)
+        if primary is None or silence_s >= _DOUBT_S:
+            return None
+    if primary is None or primary.role is Role.REPLICA:
+        return Trouble(TroubleKind.MISSING, '', now, now + SUSPICION_S)
+    return _find_seals(members, statuses, primary, now)
+
+
+def _find_seals(
+    members: Sequence[str],
+    statuses: Mapping[str, InstanceStatus],
+    primary: InstanceStatus,
+    now: float,
+) -> Trouble | None:
+    sealed = [
+        status
+        for status in statuses.values()
+        if status.sealed is not None and status.sealed.term > primary.term
+    ]
+    if not sealed:
+        return None
+    free = len(members) - len(sealed)
+    name = primary.endpoint
+    if primary in sealed or free < count_acknowledgement_quorum(len(members)):
+        due_at = now + _UNFINISHED_HOLD_S
+        return Trouble(TroubleKind.UNFINISHED, name, now, due_at)
+    return Trouble(
+        TroubleKind.LEFT_BEHIND,
+        name,
+        now,
+        now + _LEFT_BEHIND_HOLD_S,
+    )
