--- a/catkincrank/failover.py
+++ b/catkincrank/failover.py
@@ -57,6 +57,8 @@
         on_unknown_position: ``wait`` or ``promote``, see the settings.
         validity_s: How long a time-bounded confirmation counts.
         known_version: Version of the store's row that was met before.
+        silent: Instances that have not answered for a while; nothing waits
+            for them.
     """
 
     members: tuple[str, ...]
@@ -67,6 +69,7 @@
     on_unknown_position: str = 'wait'
     validity_s: float = 0
     known_version: int = 0
+    silent: tuple[str, ...] = ()
 
 
 class Step(ABC):
@@ -132,7 +135,7 @@
         self.quorum_at = _NEVER
         self.record = ClaimRecord()
         self.sealed: dict[str, InstanceStatus] = {}
-        self.unreached: set[str] = set()
+        self.unreached = set(plan.silent)
         self._step: Any = None
 
     @property
--- a/catkincrank/repair.py
+++ b/catkincrank/repair.py
@@ -10,7 +10,7 @@
 __all__ = ('Repair',)
 
 _HOLD_S = 0.5
-_RANK_HOLD_S = 2.0
+_RANK_HOLD_S = 1.0
 _RETRY_S = 1.0
 
 
--- a/catkincrank/supervision.py
+++ b/catkincrank/supervision.py
@@ -28,7 +28,7 @@
 
 __all__ = ('Report', 'Supervision', 'SupervisionOptions')
 
-_RANK_DELAY_S = 0.5
+_RANK_DELAY_S = 0.3
 _REACHABLE_SILENCE_S = 1.0
 _BACK_OFF_S = (0.3, 0.9)
 _PATIENCE_S = 5.0
@@ -125,6 +125,9 @@
                 self.hear(event.status, now)
             if event.record is not None:
                 self.record = event.record
+        paused_s = self._guard.tick(now)
+        if paused_s:
+            return self._forget_evidence(paused_s, now)
         if self.failover is None:
             return []
         return self._follow_up(self.failover.handle(event, now), now)
@@ -156,7 +159,11 @@
             'silence is counted anew',
             (('paused_s', '{0:.3f}'.format(paused_s)),),
         )
-        return [note]
+        if self.failover is None:
+            return [note]
+        reason = 'this keeper stood still meanwhile'
+        abandoned = self.failover.abandon(reason, now)
+        return [note, *self._follow_up(abandoned, now)]
 
     def _update_trouble(self, now: float) -> list[Action]:
         found = find_trouble(
@@ -256,6 +263,7 @@
             self.options.on_unknown_position,
             self.options.validity_s,
             self.record.version,
+            self._list_silent(now),
         )
         self.failover = Failover(plan)
         return self.failover.start(now)
@@ -286,6 +294,12 @@
             return [*actions, Claim(record)]
         return actions
 
+    def _list_silent(self, now: float) -> tuple[str, ...]:
+        reachable = self._list_reachable(now)
+        return tuple(
+            name for name in self.options.members if name not in reachable
+        )
+
     def _list_reachable(self, now: float) -> tuple[str, ...]:
         return tuple(
             name
