--- /dev/null
+++ b/catkincrank/leases.py
@@ -0,0 +1,208 @@
+"""Leases of connections, each for one transaction at a time."""
+
+import itertools
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import final
+
+import anyio
+
+from catkincrank.endpoint import (
+    Answer,
+    Description,
+    EndpointConnection,
+    StatementError,
+    TransactionStatus,
+)
+from catkincrank.errors import EndpointError
+from catkincrank.fairness import QueueEntry
+from catkincrank.grouppools import GroupPools, Member
+from catkincrank.history import LogMark
+from catkincrank.poolrunner import Ticket
+from catkincrank.request import Request
+
+__all__ = ('Lease', 'LeaseTicket', 'Leases')
+
+_RESET_LIMIT_S = 1
+_RESET_SQL = 'DISCARD ALL'
+_ROLLBACK_SQL = 'ROLLBACK'
+
+
+@final
+class Lease:
+    """A connection held for one transaction.
+
+    Args:
+        member: The endpoint that it leads to.
+        connection_id: Its number in the endpoint's pool.
+
+    Attributes:
+        connection: The connection.
+        is_dirty: Whether its caller may have left state on the connection.
+        is_open: Whether it is still held.
+    """
+
+    __slots__ = (
+        'connection',
+        'connection_id',
+        'is_dirty',
+        'is_open',
+        'member',
+    )
+
+    def __init__(self, member: Member, connection_id: int) -> None:
+        self.member = member
+        self.connection_id = connection_id
+        self.connection = member.runner.connection(connection_id)
+        self.is_dirty = False
+        self.is_open = True
+
+    @property
+    def endpoint(self) -> str:
+        """Name of the endpoint that it leads to."""
+        return self.member.endpoint.name
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class LeaseTicket:
+    """A request's place in the queue for a connection.
+
+    Attributes:
+        member: The endpoint that it waits for.
+        ticket: Its place.
+    """
+
+    member: Member
+    ticket: Ticket
+
+    @property
+    def is_granted(self) -> bool:
+        """Whether ``wait`` returns a lease at once."""
+        return self.ticket.connection_id != 0
+
+    async def wait(self) -> Lease:
+        """Return the connection once it is granted."""
+        connection_id = await self.member.runner.wait(self.ticket)
+        return Lease(self.member, connection_id)
+
+
+@final
+class Leases:
+    """Leases connections of every group that the proxy serves.
+
+    Args:
+        pools: Pools of the groups.
+    """
+
+    __slots__ = ('_numbers', 'pools')
+
+    def __init__(self, pools: GroupPools) -> None:
+        self.pools = pools
+        self._numbers = itertools.count(1)
+
+    def ask(self, request: Request, endpoint: str) -> LeaseTicket:
+        """Ask for a connection; it may be granted at once.
+
+        Raises:
+            EndpointError: The group has no such endpoint any more.
+        """
+        member = self.pools.find(request.group, endpoint)
+        entry = QueueEntry(
+            next(self._numbers),
+            request.team,
+            request.deadline_at,
+            request.weight,
+            member.login,
+            anyio.current_time(),
+        )
+        return LeaseTicket(member, member.runner.ask(entry))
+
+    async def acquire(self, request: Request, endpoint: str) -> Lease:
+        """Return a connection once one is free.
+
+        Raises:
+            RequestError: Too many requests wait already.
+            EndpointError: No connection could be opened.
+        """
+        return await self.ask(request, endpoint).wait()
+
+    async def execute(
+        self,
+        lease: Lease,
+        sql: str,
+        params: Sequence[str | None] = (),
+    ) -> Answer:
+        """Run a statement; discard the lease unless a whole answer came."""
+        with self._guard(lease):
+            return await lease.connection.execute(sql, params)
+
+    async def describe(self, lease: Lease, sql: str) -> Description:
+        """Describe a statement; discard the lease unless an answer came."""
+        with self._guard(lease):
+            return await lease.connection.describe(sql)
+
+    async def commit(self, lease: Lease) -> LogMark | None:
+        """Commit; discard the lease unless a whole answer came."""
+        with self._guard(lease):
+            return await lease.connection.commit()
+
+    async def apply(self, lease: Lease, settings: Mapping[str, str]) -> None:
+        """Run a caller's ``SET`` statements; they are undone at release."""
+        lease.is_dirty = True
+        for sql in settings.values():
+            await self.execute(lease, sql)  # noqa: WPS476
+
+    async def roll_back(self, lease: Lease) -> None:
+        """Roll back and give the connection back."""
+        try:
+            await self.execute(lease, _ROLLBACK_SQL)
+        except EndpointError:
+            return
+        except StatementError:
+            self.discard(lease)
+            return
+        await self.release(lease)
+
+    async def release(self, lease: Lease) -> None:
+        """Give a connection back, reset if its caller left state on it."""
+        if not lease.is_open:
+            return
+        connection = lease.connection
+        is_clean = not lease.is_dirty or await _reset(connection)
+        if is_clean and connection.transaction is TransactionStatus.IDLE:
+            lease.is_open = False
+            lease.member.runner.give_back(lease.connection_id)
+            return
+        self.discard(lease)
+
+    def discard(self, lease: Lease, *, is_lost: bool = False) -> None:
+        """Close a connection that must not serve anyone else."""
+        if lease.is_open:
+            lease.is_open = False
+            runner = lease.member.runner
+            runner.discard(lease.connection_id, is_lost=is_lost)
+
+    @contextmanager
+    def _guard(self, lease: Lease) -> Iterator[None]:
+        try:
+            yield
+        except StatementError:
+            raise
+        except EndpointError:
+            self.discard(lease)
+            raise
+        except BaseException:
+            self.discard(lease, is_lost=True)
+            raise
+
+
+async def _reset(connection: EndpointConnection) -> bool:
+    with anyio.move_on_after(_RESET_LIMIT_S, shield=True):
+        try:
+            await connection.execute(_RESET_SQL)
+        except (EndpointError, StatementError):
+            return False
+        return True
+    return False
--- /dev/null
+++ b/catkincrank/primary.py
@@ -0,0 +1,161 @@
+"""Finds a group's primary and leases connections to it."""
+
+from collections import Counter
+from contextlib import ExitStack
+from typing import final
+
+import anyio
+
+from catkincrank.errors import EndpointError
+from catkincrank.leases import Lease, Leases, LeaseTicket
+from catkincrank.news import News
+from catkincrank.request import Request
+from catkincrank.retrying import Retries
+from catkincrank.routing import Route, choose_write
+from catkincrank.verdict import Reason, RequestError, Verdict
+
+__all__ = ('PrimaryFinder',)
+
+_QUEUE_HINT_S = 1
+
+
+@final
+class PrimaryFinder:
+    """Leases connections to primaries; requests wait here in a failover.
+
+    Args:
+        news: Evidence about the groups, and a way to wait for more.
+        leases: Connections.
+        retries: Spreads attempts to connect.
+    """
+
+    __slots__ = ('_feed', '_leases', '_retries', '_news', '_waiting')
+
+    def __init__(
+        self,
+        news: News,
+        leases: Leases,
+        retries: Retries,
+    ) -> None:
+        self._news = news
+        self._feed = news.feed
+        self._leases = leases
+        self._retries = retries
+        self._waiting: Counter[str] = Counter()
+
+    def count_waiting(self, group: str) -> int:
+        """Return how many requests wait for a primary."""
+        return self._waiting[group]
+
+    async def lease(self, request: Request) -> Lease:
+        """Return a connection to the primary, once there is one.
+
+        Raises:
+            RequestError: Too many requests wait already.
+        """
+        ticket = self._ask(request)
+        if ticket is not None and ticket.is_granted:
+            return await ticket.wait()
+        self._check_queue(request)
+        with ExitStack() as stack:
+            stack.callback(self._waiting.subtract, (request.group,))
+            self._waiting[request.group] += 1
+            return await self._wait_for_lease(request, ticket)
+
+    def _ask(self, request: Request) -> LeaseTicket | None:
+        choice = self._choose(request)
+        if isinstance(choice, Route):
+            return self._leases.ask(request, choice.endpoint)
+        return None
+
+    def _check_queue(self, request: Request) -> None:
+        limit = request.service.limits.queue_length
+        if self._waiting[request.group] < limit:
+            return
+        raise RequestError(
+            Verdict.NOT_RUN,
+            Reason.OVERLOADED,
+            'too many requests wait for the primary',
+            retry_after_s=_QUEUE_HINT_S,
+        )
+
+    async def _wait_for_lease(
+        self,
+        request: Request,
+        ticket: LeaseTicket | None,
+    ) -> Lease:
+        failures = 0
+        while True:
+            revision = self._feed.revision(request.group)
+            if ticket is None:
+                ticket = self._ask(request)
+            if ticket is None:
+                await self._news.wait(request.group, revision)
+                continue
+            lease = await self._await_ticket(request, ticket)
+            if lease is not None:
+                return lease
+            ticket = None
+            failures += 1
+            await anyio.sleep(self._retries.delay(failures))
+
+    async def _await_ticket(
+        self,
+        request: Request,
+        ticket: LeaseTicket,
+    ) -> Lease | None:
+        """Lease from an endpoint; stop when it is not the primary now."""
+        outcome = _Outcome()
+        try:
+            async with anyio.create_task_group() as tasks:
+                scope = tasks.cancel_scope
+                tasks.start_soon(self._watch, request, ticket, scope)
+                await outcome.await_ticket(ticket)
+                scope.cancel()
+        except BaseException:
+            if outcome.lease is not None:
+                await self._leases.release(outcome.lease)
+            raise
+        if outcome.refusal is not None:
+            raise outcome.refusal
+        return outcome.lease
+
+    async def _watch(
+        self,
+        request: Request,
+        ticket: LeaseTicket,
+        scope: anyio.CancelScope,
+    ) -> None:
+        endpoint = ticket.member.endpoint.name
+        while True:
+            revision = self._feed.revision(request.group)
+            choice = self._choose(request)
+            if not isinstance(choice, Route) or choice.endpoint != endpoint:
+                scope.cancel()
+                return
+            await self._news.wait(request.group, revision)
+
+    def _choose(self, request: Request) -> object:
+        loads = self._leases.pools.loads(request.group)
+        now = anyio.current_time()
+        return choose_write(request.group, self._feed, now, loads)
+
+
+@final
+class _Outcome:
+    """What came of a ticket."""
+
+    __slots__ = ('lease', 'refusal')
+
+    def __init__(self) -> None:
+        self.lease: Lease | None = None
+        self.refusal: RequestError | None = None
+
+    async def await_ticket(self, ticket: LeaseTicket) -> None:
+        """Keep the lease or the refusal; neither if the endpoint failed."""
+        try:
+            self.lease = await ticket.wait()
+        except RequestError as refusal:
+            self.refusal = refusal
+        except EndpointError:
+            return
--- /dev/null
+++ b/catkincrank/programs.py
@@ -0,0 +1,57 @@
+"""Daemons as programs: options, logs and the event loop."""
+
+import importlib
+import os
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any, final
+
+import anyio
+
+from catkincrank.logs import configure_logs, log_event
+from catkincrank.options import parse_options
+
+__all__ = ('PROGRAMS', 'Program', 'load_program', 'run_program')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Program:
+    """Where a daemon lives.
+
+    Attributes:
+        module: Module with ``run``.
+        options: Name of the class of its flags there.
+    """
+
+    module: str
+    options: str
+
+
+PROGRAMS = {  # noqa: WPS407
+    'proxy': Program('catkincrank.proxyprogram', 'ProxyFlags'),
+    'keeper': Program('catkincrank.keeperprogram', 'KeeperFlags'),
+}
+
+
+def load_program(name: str) -> tuple[Any, type[Any]]:
+    """Return a daemon's module and its options class."""
+    program = PROGRAMS[name]
+    module = importlib.import_module(program.module)
+    return module, getattr(module, program.options)
+
+
+def run_program(name: str, arguments: Sequence[str]) -> int:
+    """Run a daemon until it is told to stop; return its exit status.
+
+    Raises:
+        OptionError: An option is wrong; nothing was started.
+    """
+    module, kind = load_program(name)
+    options = parse_options(kind, arguments, os.environ)
+    source = getattr(options, 'name', '') or name
+    configure_logs(source)
+    log_event('program_started', program=name, process_id=os.getpid())
+    anyio.run(module.run, options)
+    log_event('program_stopped', program=name)
+    return 0
