Let keepers share duties and replace primaries

Cause: every keeper watched every group and none acted on a failed primary. Change: membership, duties by rendezvous hashing, supervision of each group with its claims in the store, feeds from the keepers that have duty. A term is promised to one ballot only, on the driver too: two ballots of one term could otherwise both be promoted. An instance that follows isn't promoted.

--- /dev/null
+++ b/catkincrank/duty.py
@@ -0,0 +1,191 @@
+"""Which keepers watch a group and may replace its primary.
+
+Groups fall into buckets by hash. Rendezvous hashing over the keepers ranks
+them for each bucket; the first three of different zones have duty. As buckets
+are few, a keeper shares its duties with few others, and only those are probed.
+
+A keeper that falls silent keeps its place for a while, as most come back: the
+other two go on. Its place is given away at once only when too few are left.
+A keeper that loses a duty goes on with it until the others surely have it.
+"""
+
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import final
+
+import xxhash
+
+from catkincrank.membership import Belief, PeerAddress, PeerState
+
+__all__ = ('Duties', 'Duty', 'choose_duty', 'find_bucket', 'rank_keepers')
+
+WATCHERS = 3
+STANDBYS = 1
+_BUCKETS = 1024
+_HOLD_DOWN_S = 60.0
+_SHORT_HOLD_DOWN_S = 3.0
+_LEAST_LIVE = 2
+_OVERLAP_S = 10.0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Duty:
+    """Keepers that have duty for a bucket.
+
+    Attributes:
+        keepers: Names in order of rank; silent ones come last.
+        standbys: Names of the next in line.
+    """
+
+    keepers: tuple[str, ...]
+    standbys: tuple[str, ...] = ()
+
+
+def find_bucket(group: str) -> int:
+    """Return the bucket of ``group``."""
+    return xxhash.xxh64_intdigest(group.encode()) % _BUCKETS
+
+
+def rank_keepers(bucket: int, names: Iterable[str]) -> list[str]:
+    """Return ``names`` in the order in which they take the bucket."""
+    return sorted(
+        names,
+        key=lambda name: xxhash.xxh64_intdigest(name.encode(), bucket),
+    )
+
+
+def choose_duty(
+    ranking: Sequence[str],
+    beliefs: Mapping[str, Belief],
+    now: float,
+) -> Duty:
+    """Return who has duty, given keepers in rank order and beliefs."""
+    chosen = _choose(ranking, beliefs, now - _HOLD_DOWN_S)
+    if _count_live(chosen[:WATCHERS], beliefs) < _LEAST_LIVE:
+        chosen = _choose(ranking, beliefs, now - _SHORT_HOLD_DOWN_S)
+    keepers = sorted(
+        chosen[:WATCHERS],
+        key=lambda name: beliefs[name].state is PeerState.SILENT,
+    )
+    return Duty(tuple(keepers), tuple(chosen[WATCHERS:]))
+
+
+def _choose(
+    ranking: Sequence[str],
+    beliefs: Mapping[str, Belief],
+    silent_after: float,
+) -> list[str]:
+    """Return the first keepers of different zones, then of any zone."""
+    able = [
+        ranked
+        for ranked in ranking
+        if _may_watch(beliefs[ranked], silent_after)
+    ]
+    zones: set[str] = set()
+    first: list[str] = []
+    for name in able:
+        zone = beliefs[name].address.zone
+        if zone not in zones:
+            zones.add(zone)
+            first.append(name)
+        if len(first) == WATCHERS + STANDBYS:
+            return first
+    others = [ranked for ranked in able if ranked not in first]
+    return [*first, *others][: WATCHERS + STANDBYS]
+
+
+def _may_watch(belief: Belief, silent_after: float) -> bool:
+    if belief.state is PeerState.SILENT:
+        return belief.since > silent_after
+    return belief.state is not PeerState.LEAVING
+
+
+def _count_live(
+    names: Iterable[str],
+    beliefs: Mapping[str, Belief],
+) -> int:
+    return sum(beliefs[name].state is not PeerState.SILENT for name in names)
+
+
+@final
+class Duties:
+    """Duties of one keeper over time.
+
+    Args:
+        me: This keeper.
+
+    Attributes:
+        held: Buckets that it has duty for, each with its rank.
+        chosen: Duty of each bucket that was asked for.
+        moves: How often a duty was taken up or given up.
+    """
+
+    def __init__(self, me: PeerAddress) -> None:
+        self.held: dict[int, int] = {}
+        self.chosen: dict[int, Duty] = {}
+        self.moves = 0
+        self._me = me
+        self._rankings: dict[int, list[str]] = {}
+        self._names: frozenset[str] = frozenset()
+        self._lost_at: dict[int, float] = {}
+
+    def update(
+        self,
+        buckets: Iterable[int],
+        beliefs: Mapping[str, Belief],
+        now: float,
+    ) -> None:
+        """Work out the duties for ``buckets`` anew."""
+        wanted = set(buckets)
+        self._forget(wanted)
+        mine = Belief(self._me, PeerState.ALIVE, 'it is this keeper', now)
+        known = {**beliefs, self._me.name: mine}
+        if known.keys() != self._names:
+            self._names = frozenset(known)
+            self._rankings.clear()
+        for bucket in wanted:
+            duty = choose_duty(self._rank(bucket), known, now)
+            self.chosen[bucket] = duty
+            self._hold(bucket, duty, now)
+
+    def list_partners(self) -> set[str]:
+        """Return the keepers that share a duty with this one."""
+        partners: set[str] = set()
+        for duty in self.chosen.values():
+            names = {*duty.keepers, *duty.standbys}
+            if self._me.name in names:
+                partners |= names
+        partners.discard(self._me.name)
+        return partners
+
+    def _rank(self, bucket: int) -> list[str]:
+        ranking = self._rankings.get(bucket)
+        if ranking is None:
+            ranking = rank_keepers(bucket, self._names)
+            self._rankings[bucket] = ranking
+        return ranking
+
+    def _hold(self, bucket: int, duty: Duty, now: float) -> None:
+        name = self._me.name
+        if name in duty.keepers:
+            self.moves += bucket not in self.held
+            self.held[bucket] = duty.keepers.index(name)
+            self._lost_at.pop(bucket, None)
+        elif self.held.get(bucket) is not None:
+            lost_at = self._lost_at.setdefault(bucket, now)
+            self.held[bucket] = WATCHERS
+            if now >= lost_at + _OVERLAP_S:
+                self._drop(bucket)
+
+    def _forget(self, wanted: set[int]) -> None:
+        for bucket in set(self.chosen) - wanted:
+            self.chosen.pop(bucket)
+            self._rankings.pop(bucket, None)
+        for bucket in set(self.held) - wanted:
+            self._drop(bucket)
+
+    def _drop(self, bucket: int) -> None:
+        self.held.pop(bucket)
+        self._lost_at.pop(bucket, None)
+        self.moves += 1
--- a/catkincrank/endpoint.py
+++ b/catkincrank/endpoint.py
@@ -169,13 +169,17 @@
     async def seal(self, ballot: Ballot) -> InstanceStatus:
         """Promise ``ballot``: stop following and taking writes of older terms.
 
-        The instance refuses when it has promised a higher ballot; the status
-        returned says which ballot it holds afterwards.
+        The instance refuses when it has promised this term or a later one to
+        another ballot, so that one keeper at most gathers a majority for a
+        term. The status returned says which ballot it holds afterwards.
         """
 
     @abstractmethod
     async def promote(self, ballot: Ballot) -> InstanceStatus:
-        """Begin ``ballot.term`` as primary, if sealed to just that ballot."""
+        """Begin ``ballot.term`` as primary, if sealed to just that ballot.
+
+        An instance that follows another is not promoted.
+        """
 
     @abstractmethod
     async def follow(
--- a/catkincrank/endpoints/postgres.py
+++ b/catkincrank/endpoints/postgres.py
@@ -112,7 +112,7 @@
         """Promise ``ballot``; see the base class."""
         async with self._locked():
             status = await self.fetch_status()
-            if status.sealed is None or status.sealed < ballot:
+            if _may_seal(status, ballot):
                 await self._execute_all(
                     _configure(Upstream(None, ballot)),
                     *_stop_writes(status.role),
@@ -139,7 +139,7 @@
         """Stream from ``primary``; see the base class."""
         async with self._locked():
             status = await self.fetch_status()
-            if status.sealed is None or status.sealed <= ballot:
+            if status.sealed is None or status.sealed.term <= ballot.term:
                 await self._execute_all(
                     _configure(Upstream(primary, ballot)),
                     statements.READ_ONLY_OFF,
@@ -237,6 +237,14 @@
         return connection
 
 
+def _may_seal(status: InstanceStatus, ballot: Ballot) -> bool:
+    """Whether the promise is free; a term is promised to one keeper only."""
+    held = status.sealed
+    if held is None or held.term < ballot.term:
+        return True
+    return held == ballot and bool(status.follows)
+
+
 def _stop_writes(role: Role) -> tuple[str, ...]:
     if role is Role.REPLICA:
         return (statements.RELOAD,)
--- a/catkincrank/failoversteps.py
+++ b/catkincrank/failoversteps.py
@@ -214,6 +214,8 @@
             return []
         if find_held_mark(status) < choice.mark:
             return []
+        if status.follows:
+            return [Seal(choice.target, self.attempt.ballot)]
         self.attempt.sealed[status.endpoint] = status
         return self.attempt.enter(Phase.WAIT, now)
 
@@ -225,9 +227,13 @@
         if now < self.began_at + _CATCH_UP_LIMIT_S:
             return [Read(choice.target, self.attempt.ballot)]
         rule = self.attempt.plan.on_unknown_position
-        if choice.is_covered or rule == _PROMOTE_ANYWAY:
-            return self.attempt.enter(Phase.WAIT, now)
-        return self.attempt.abandon('the old primary could not be copied', now)
+        if not choice.is_covered and rule != _PROMOTE_ANYWAY:
+            reason = 'the old primary could not be copied'
+            return self.attempt.abandon(reason, now)
+        return [
+            Seal(choice.target, self.attempt.ballot),
+            *self.attempt.enter(Phase.WAIT, now),
+        ]
 
 
 @steps.register(Phase.WAIT.value)
--- a/catkincrank/feedserver.py
+++ b/catkincrank/feedserver.py
@@ -1,15 +1,20 @@
 """Publishes what a keeper knows of its groups to subscribers."""
 
+import contextlib
+from collections.abc import Callable, Container, Iterator
 from typing import final
 
 import anyio
 
-from catkincrank.dispatcher import Peer
+from catkincrank.dispatcher import Dispatcher, Peer
+from catkincrank.errors import MessageError
 from catkincrank.feed import Feed
-from catkincrank.messages import FeedRequest, FeedUpdate
+from catkincrank.links import Link
+from catkincrank.messages import FeedRequest, FeedUpdate, Hello
 
-__all__ = ('Subscription',)
+__all__ = ('FeedServer', 'Subscription')
 
+_KEEPER = 'keeper'
 _REST_INTERVAL_S = 0.25
 
 
@@ -106,3 +111,70 @@
                 observations,
             ),
         )
+
+
+@final
+class FeedServer:
+    """Serves the processes that dial a keeper.
+
+    Args:
+        feed: Where the news comes from.
+        source: Incarnation of this process.
+        dispatcher: Handles what the processes send.
+        watched: Groups that this keeper watches itself; other keepers get
+            no others, so that news never goes in circles.
+        hurry: Is called with each group that a subscriber waits for.
+    """
+
+    def __init__(
+        self,
+        feed: Feed,
+        source: str,
+        dispatcher: Dispatcher,
+        watched: Container[str],
+        hurry: Callable[[str], None],
+    ) -> None:
+        self._feed = feed
+        self._source = source
+        self._dispatcher = dispatcher
+        self._watched = watched
+        self._hurry = hurry
+        self._subscriptions: dict[Link, Subscription] = {}
+        dispatcher.handle(FeedRequest)(self._subscribe)
+        feed.listen(self._publish)
+
+    async def handle_link(self, link: Link) -> None:
+        """Serve a process that has dialled this keeper."""
+        hello = await link.receive()
+        if not isinstance(hello, Hello):
+            raise MessageError('the first message is not a greeting')
+        peer = Peer(hello, link)
+        subscription = Subscription(peer, self._feed, self._source)
+        with self._hold(link, subscription):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(subscription.run)
+                await self._dispatcher.serve(peer)
+
+    @contextlib.contextmanager
+    def _hold(self, link: Link, subscription: Subscription) -> Iterator[None]:
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._subscriptions.pop, link)
+            self._subscriptions[link] = subscription
+            yield
+
+    async def _subscribe(self, peer: Peer, request: FeedRequest) -> None:
+        subscription = self._subscriptions.get(peer.link)
+        if subscription is None:
+            return
+        groups = request.groups
+        if peer.hello.role == _KEEPER:
+            groups = tuple(name for name in groups if name in self._watched)
+        subscription.replace(
+            FeedRequest(groups, request.stamp, request.urgent),
+        )
+        for group in request.urgent:
+            self._hurry(group)
+
+    def _publish(self, group: str) -> None:
+        for subscription in self._subscriptions.values():
+            subscription.notice(group)
--- /dev/null
+++ b/catkincrank/fleet.py
@@ -0,0 +1,182 @@
+"""Runs membership and duties of a keeper: probes, the VM list, the clock."""
+
+import random
+from collections.abc import Callable, Collection, Iterable
+from typing import final
+
+import anyio
+import msgspec
+
+from catkincrank.dispatcher import Dispatcher, Peer
+from catkincrank.duty import Duties, Duty, find_bucket
+from catkincrank.errors import StoreUnavailableError
+from catkincrank.journal import Event
+from catkincrank.logs import Recorder
+from catkincrank.membership import (
+    Belief,
+    Membership,
+    PeerAddress,
+    PeerState,
+)
+from catkincrank.messages import Message, Probe
+from catkincrank.peerlinks import PeerLinks
+from catkincrank.store import Store
+
+__all__ = ('Fleet',)
+
+_TICK_S = 0.5
+_PROBE_INTERVAL_S = 1.0
+_LIST_INTERVAL_S = 30.0
+_SAMPLES = 1
+_QUIET = frozenset((PeerState.LISTED, PeerState.ALIVE))
+
+
+@final
+class Fleet:
+    """This keeper among the others.
+
+    Args:
+        me: This keeper.
+        store: The platform's service; ``None`` works without.
+        links: Sends messages to other keepers.
+        recorder: Keeps changes of belief in the journal and the log.
+        apply: Is called when duties may have changed.
+    """
+
+    def __init__(
+        self,
+        me: PeerAddress,
+        store: Store | None,
+        links: PeerLinks,
+        recorder: Recorder,
+        apply: Callable[[], None],
+    ) -> None:
+        self.membership = Membership(me, anyio.current_time())
+        self.duties = Duties(me)
+        self.is_leaving = False
+        self._me = me
+        self._store = store
+        self._links = links
+        self._recorder = recorder
+        self._apply = apply
+        self._groups: frozenset[str] = frozenset()
+        self._probed_at = float('-inf')
+        self._number = 0
+        self._chance = random.Random(me.name)
+
+    def register(self, dispatcher: Dispatcher) -> None:
+        """Answer other keepers' probes."""
+        dispatcher.handle(Probe)(self._on_probe)
+
+    def set_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Take in the keepers that settings name."""
+        self.membership.learn_peers(peers, anyio.current_time())
+        self._update(anyio.current_time())
+
+    def replace_groups(self, groups: Collection[str]) -> None:
+        """Take in which groups there are."""
+        self._groups = frozenset(groups)
+        self._update(anyio.current_time())
+
+    def find_rank(self, group: str) -> int | None:
+        """Return this keeper's rank for ``group``; ``None`` without duty."""
+        return self.duties.held.get(find_bucket(group))
+
+    def list_watchers(self, group: str) -> tuple[PeerAddress, ...]:
+        """Return the other keepers with duty for ``group``, near ones first."""
+        duty = self.duties.chosen.get(find_bucket(group), Duty(()))
+        beliefs = self.membership.beliefs
+        addresses = [
+            beliefs[name].address for name in duty.keepers if name in beliefs
+        ]
+        return tuple(
+            sorted(
+                addresses,
+                key=lambda address: address.zone != self._me.zone,
+            ),
+        )
+
+    def tell_watchers(self, group: str, message: Message) -> None:
+        """Send ``message`` to the other keepers with duty for ``group``."""
+        for address in self.list_watchers(group):
+            self._links.send(address.name, message)
+
+    async def run(self) -> None:
+        """Keep beliefs and duties up to date until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow_list)
+            while True:
+                now = anyio.current_time()
+                self._update(now)
+                self._probe(now)
+                self._apply()
+                await anyio.sleep(_TICK_S)
+
+    def _update(self, now: float) -> None:
+        for belief in self.membership.tick(now):
+            self._record(belief)
+        beliefs = self.membership.beliefs
+        self.duties.update(map(find_bucket, self._groups), beliefs, now)
+        self._links.replace(held.address for held in beliefs.values())
+
+    def _probe(self, now: float) -> None:
+        if now < self._probed_at + _PROBE_INTERVAL_S:
+            return
+        self._probed_at = now
+        self._number += 1
+        partners = self.duties.list_partners()
+        self.membership.probe(partners, now)
+        others = sorted(set(self.membership.beliefs) - partners)
+        samples = self._chance.sample(others, min(_SAMPLES, len(others)))
+        for name in (*partners, *samples):
+            self._links.send(name, self._make_probe(self._number))
+
+    def _make_probe(self, number: int) -> Probe:
+        me = self._me
+        return Probe(
+            me.name,
+            me.zone,
+            me.host,
+            me.port,
+            number,
+            self.is_leaving,
+        )
+
+    async def _on_probe(self, peer: Peer, probe: Probe) -> None:
+        address = PeerAddress(probe.name, probe.zone, probe.host, probe.port)
+        self.membership.hear(
+            address,
+            anyio.current_time(),
+            is_leaving=probe.is_leaving,
+        )
+        if probe.number:
+            await peer.link.send(self._make_probe(0))
+
+    async def _follow_list(self) -> None:
+        while self._store is not None:
+            await self._read_list(self._store)
+            await anyio.sleep(_LIST_INTERVAL_S * (1 + self._chance.random()))
+
+    async def _read_list(self, store: Store) -> None:
+        try:
+            machines = await store.list_machines()
+        except StoreUnavailableError as error:
+            self._recorder.record(
+                Event('vm_list_unread', 'platform', str(error), 'old one used'),
+            )
+            return
+        self.membership.learn_list(machines, anyio.current_time())
+
+    def _record(self, belief: Belief) -> None:
+        name = belief.address.name
+        if belief.state in _QUIET:
+            return
+        self._recorder.record(
+            Event(
+                'peer_{0}'.format(belief.state.value),
+                name,
+                belief.why,
+                'held for {0}'.format(belief.state.value),
+                {'peer': msgspec.json.encode(belief.address).decode()},
+            ),
+        )
--- a/catkincrank/keeper.py
+++ b/catkincrank/keeper.py
@@ -1,73 +1,35 @@
 """The keeper: watches endpoints, feeds proxies and replaces primaries."""
 
-import contextlib
 import uuid
-from collections.abc import Awaitable, Callable, Iterator
-from dataclasses import dataclass, field
 from typing import final
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
 from loguru import logger
 
+from catkincrank.claims import Claims
 from catkincrank.dispatcher import Dispatcher, Peer
-from catkincrank.errors import MessageError
 from catkincrank.feed import Feed
-from catkincrank.feedserver import Subscription
+from catkincrank.feedserver import FeedServer
+from catkincrank.fleet import Fleet
 from catkincrank.instance import Observation
 from catkincrank.journal import Journal
+from catkincrank.keeperoptions import KeeperOptions
 from catkincrank.links import Link, listen
-from catkincrank.messages import FeedRequest, Hello
+from catkincrank.logs import Recorder
+from catkincrank.membership import PeerAddress
+from catkincrank.messages import Hello, SuspicionReply
+from catkincrank.peerlinks import PeerLinks
 from catkincrank.settings import Service, Team
-from catkincrank.store import Store
+from catkincrank.supervisor import Supervisor
+from catkincrank.upstreams import Upstreams
 from catkincrank.watch import WatchListener
 from catkincrank.watches import WatchSet
 
 __all__ = ('Keeper', 'KeeperOptions', 'PeerAddress', 'serve')
 
-
-@final
-@dataclass(frozen=True, slots=True)
-class PeerAddress:
-    """Another keeper, as settings or the platform's list name it.
-
-    Attributes:
-        name: Name of its VM.
-        zone: Availability zone it runs in.
-        host: IP number.
-        port: TCP port of its keeper.
-    """
-
-    name: str
-    zone: str
-    host: str
-    port: int
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class KeeperOptions:
-    """What a keeper is told at its start.
-
-    Attributes:
-        name: Name of its VM.
-        zone: Availability zone it runs in.
-        host: IP number to listen on.
-        port: TCP port to listen on; 0 takes a free one.
-        store: The platform's service; ``None`` works without.
-        teams: Subtrees known at the start, by team.
-        peers: Other keepers known at the start.
-        extensions: Tasks that run beside the keeper, each given the keeper.
-    """
-
-    name: str
-    zone: str
-    host: str = '127.0.0.1'
-    port: int = 0
-    store: Store | None = None
-    teams: dict[str, Team] = field(default_factory=dict)
-    peers: tuple[PeerAddress, ...] = ()
-    extensions: tuple[Callable[['Keeper'], Awaitable[None]], ...] = ()
+_ROLE = 'keeper'
+_INCARNATION_CHARS = 8
 
 
 @final
@@ -76,27 +38,64 @@
 
     Args:
         options: What it is told at its start.
+        port: TCP port that it listens on.
         tasks: Runs its tasks.
 
     Attributes:
         dispatcher: Handlers of messages from other processes, by type.
         feed: What it knows of the groups.
+        fleet: The other keepers and the duties shared with them.
         journal: Its decisions.
-        port: TCP port that it listens on.
+        links: Sends messages to other keepers.
+        publisher: Serves the processes that dial this keeper.
+        supervisor: Decides when and how primaries are replaced.
     """
 
-    def __init__(self, options: KeeperOptions, tasks: TaskGroup) -> None:
+    def __init__(
+        self,
+        options: KeeperOptions,
+        port: int,
+        tasks: TaskGroup,
+    ) -> None:
         self.options = options
+        self.port = port
         self.incarnation = uuid.uuid4().hex
         self.dispatcher = Dispatcher()
         self.feed = Feed()
         self.journal = Journal(options.name)
+        hello = Hello(options.name, options.zone, _ROLE, self.incarnation)
+        recorder = Recorder(self.journal)
+        self.links = PeerLinks(hello, self.dispatcher, tasks)
         self.watches = WatchSet(options.name, options.zone, self, tasks)
-        self.port = options.port
+        self.fleet = Fleet(
+            PeerAddress(options.name, options.zone, options.host, port),
+            options.store,
+            self.links,
+            recorder,
+            self._apply_duties,
+        )
+        self.supervisor = Supervisor(
+            self.watches,
+            Claims(options.store),
+            recorder,
+            tasks,
+            self.fleet.tell_watchers,
+            keeper='{0}.{1}'.format(
+                options.name,
+                self.incarnation[:_INCARNATION_CHARS],
+            ),
+            zone=options.zone,
+        )
+        self._upstreams = Upstreams(hello, self.feed, tasks)
         self._services: dict[str, Service] = {}
-        self._subscriptions: dict[Link, Subscription] = {}
-        self.dispatcher.handle(FeedRequest)(self._subscribe)
-        self.feed.listen(self._publish)
+        self.publisher = FeedServer(
+            self.feed,
+            self.incarnation,
+            self.dispatcher,
+            self.watches.groups,
+            self._hurry,
+        )
+        self._register()
 
     def apply_team(self, name: str, team: Team | None) -> None:
         """Bring a team's subtree into force; ``None`` removes the team."""
@@ -105,25 +104,33 @@
         for group in tuple(self._services):
             if group.startswith(prefix) and group not in wanted:
                 self._services.pop(group)
-                self.watches.drop_group(group)
+                self._stop_watching(group)
+                self._upstreams.drop_group(group)
         for group, service in wanted.items():
             self._services[group] = service
             self.feed.set_members(
                 group,
                 (endpoint.name for endpoint in service.endpoints),
             )
-            self.watches.set_group(group, service)
+        self.fleet.replace_groups(self._services)
+        self._apply_duties()
 
     def list_groups(self) -> list[str]:
         """Return the groups of the teams in force."""
         return sorted(self._services)
 
+    def on_ask(self, group: str, endpoint: str) -> None:
+        """Take in that an instance is asked for its status."""
+        self.supervisor.ask(group, endpoint)
+
     def on_status(self, group: str, observation: Observation) -> None:
         """Take in an answer of an instance."""
+        self.supervisor.hear(group, observation)
         self.feed.learn(group, observation)
 
     def on_failure(self, group: str, endpoint: str, reason: str) -> None:
         """Take in that an instance did not answer."""
+        self.supervisor.fail(group, endpoint, reason)
         logger.bind(
             event='status_unread',
             group=group,
@@ -131,36 +138,35 @@
             cause=reason,
         ).info('an instance did not answer')
 
-    async def handle_link(self, link: Link) -> None:
-        """Serve a process that has dialled this keeper."""
-        hello = await link.receive()
-        if not isinstance(hello, Hello):
-            raise MessageError('the first message is not a greeting')
-        subscription = Subscription(
-            Peer(hello, link),
-            self.feed,
-            self.incarnation,
-        )
-        with self._hold(link, subscription):
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(subscription.run)
-                await self.dispatcher.serve(Peer(hello, link))
-
-    @contextlib.contextmanager
-    def _hold(self, link: Link, subscription: Subscription) -> Iterator[None]:
-        with contextlib.ExitStack() as stack:
-            stack.callback(self._subscriptions.pop, link)
-            self._subscriptions[link] = subscription
-            yield
-
-    async def _subscribe(self, peer: Peer, request: FeedRequest) -> None:
-        self._subscriptions[peer.link].replace(request)
-        for group in request.urgent:
-            self.watches.hurry(group)
-
-    def _publish(self, group: str) -> None:
-        for subscription in self._subscriptions.values():
-            subscription.notice(group)
+    def _register(self) -> None:
+        self.dispatcher.handle(SuspicionReply)(self._on_report)
+        self.fleet.register(self.dispatcher)
+        self.fleet.set_peers(self.options.peers)
+
+    def _hurry(self, group: str) -> None:
+        self.watches.hurry(group)
+        self._upstreams.hurry(group)
+
+    async def _on_report(self, _peer: Peer, reply: SuspicionReply) -> None:
+        self.supervisor.hear_report(reply)
+        self.watches.hurry(reply.group)
+
+    def _apply_duties(self) -> None:
+        """Watch what this keeper has duty for, subscribe to the rest."""
+        for group, service in self._services.items():
+            rank = self.fleet.find_rank(group)
+            if rank is None:
+                self._stop_watching(group)
+                watchers = self.fleet.list_watchers(group)
+                self._upstreams.set_group(group, watchers)
+            else:
+                self._upstreams.drop_group(group)
+                self.watches.set_group(group, service)
+                self.supervisor.set_group(group, service, rank)
+
+    def _stop_watching(self, group: str) -> None:
+        self.supervisor.drop_group(group)
+        self.watches.drop_group(group)
 
 
 async def serve(
@@ -170,16 +176,24 @@
 ) -> None:
     """Run a keeper until cancelled; report it through ``task_status``."""
     async with anyio.create_task_group() as tasks:
-        keeper = Keeper(options, tasks)
-        for name, team in options.teams.items():
-            keeper.apply_team(name, team)
-        keeper.port = await tasks.start(
+        opened: list[Keeper] = []
+
+        async def handle_link(link: Link) -> None:  # noqa: WPS430
+            await opened[0].publisher.handle_link(link)
+
+        port = await tasks.start(
             listen,
             options.host,
             options.port,
-            keeper.handle_link,
+            handle_link,
             options.name,
         )
+        keeper = Keeper(options, port, tasks)
+        opened.append(keeper)
+        for name, team in options.teams.items():
+            keeper.apply_team(name, team)
+        tasks.start_soon(keeper.supervisor.run)
+        tasks.start_soon(keeper.fleet.run)
         for extension in options.extensions:
             tasks.start_soon(extension, keeper)
         logger.bind(event='keeper_started', port=keeper.port).info(
--- /dev/null
+++ b/catkincrank/keeperoptions.py
@@ -0,0 +1,37 @@
+"""What a keeper is told at its start."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, final
+
+from catkincrank.membership import PeerAddress
+from catkincrank.settings import Team
+from catkincrank.store import Store
+
+__all__ = ('KeeperOptions',)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class KeeperOptions:
+    """What a keeper is told at its start.
+
+    Attributes:
+        name: Name of its VM.
+        zone: Availability zone it runs in.
+        host: IP number to listen on.
+        port: TCP port to listen on; 0 takes a free one.
+        store: The platform's service; ``None`` works without.
+        teams: Subtrees known at the start, by team.
+        peers: Other keepers known at the start.
+        extensions: Tasks that run beside the keeper, each given the keeper.
+    """
+
+    name: str
+    zone: str
+    host: str = '127.0.0.1'
+    port: int = 0
+    store: Store | None = None
+    teams: dict[str, Team] = field(default_factory=dict)
+    peers: tuple[PeerAddress, ...] = ()
+    extensions: tuple[Callable[[Any], Awaitable[None]], ...] = ()
--- a/catkincrank/messages.py
+++ b/catkincrank/messages.py
@@ -29,6 +29,7 @@
     'Heartbeat',
     'Hello',
     'Message',
+    'Probe',
     'SettingsDelta',
     'SettingsDigest',
     'SettingsEntry',
@@ -78,6 +79,29 @@
     sequence: int
 
 
+@file_message('probe')
+@final
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks a keeper whether it lives, or answers.
+
+    Attributes:
+        name: Name of the sender's VM.
+        zone: Its availability zone.
+        host: IP number that it listens on.
+        port: TCP port that it listens on.
+        number: Rises with each question; 0 in an answer.
+        is_leaving: Whether the sender is about to stop.
+    """
+
+    name: str
+    zone: str
+    host: str
+    port: int
+    number: int = 0
+    is_leaving: bool = False
+
+
 @file_message('feedRequest')
 @final
 @dataclass(frozen=True, slots=True)
--- a/catkincrank/peerlinks.py
+++ b/catkincrank/peerlinks.py
@@ -13,8 +13,8 @@
 from loguru import logger
 
 from catkincrank.dispatcher import Dispatcher, Peer
-from catkincrank.keeper import PeerAddress
 from catkincrank.links import Link, LinkClosedError, dial, serve_link
+from catkincrank.membership import PeerAddress
 from catkincrank.messages import Hello
 
 __all__ = ('PeerLinks',)
--- a/catkincrank/repair.py
+++ b/catkincrank/repair.py
@@ -25,10 +25,10 @@
         rank: Place of the keeper among those that have duty for the group.
     """
 
-    __slots__ = ('_due', '_rank')
+    __slots__ = ('_due', 'rank')
 
     def __init__(self, rank: int) -> None:
-        self._rank = rank
+        self.rank = rank
         self._due: dict[str, float] = {}
 
     def tick(
@@ -56,7 +56,7 @@
         primary: InstanceStatus,
         now: float,
     ) -> list[Action]:
-        hold_s = _HOLD_S + _RANK_HOLD_S * self._rank
+        hold_s = _HOLD_S + _RANK_HOLD_S * self.rank
         due_at = self._due.setdefault(status.endpoint, now + hold_s)
         if now < due_at:
             return []
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -13,6 +13,7 @@
     feedUpdate @4 :FeedUpdate;
     suspicionQuery @5 :SuspicionQuery;
     suspicionReply @6 :SuspicionReply;
+    probe @12 :Probe;
     settingsRequest @7 :SettingsRequest;
     settingsUpdate @8 :SettingsUpdate;
     settingsDigest @9 :SettingsDigest;
@@ -21,6 +22,15 @@
   }
 }
 
+struct Probe {
+  name @0 :Text;
+  zone @1 :Text;
+  host @2 :Text;
+  port @3 :UInt16;
+  number @4 :UInt64;
+  isLeaving @5 :Bool;
+}
+
 struct Hello {
   name @0 :Text;
   zone @1 :Text;
--- a/catkincrank/supervision.py
+++ b/catkincrank/supervision.py
@@ -23,13 +23,13 @@
 from catkincrank.instance import InstanceStatus
 from catkincrank.quorum import count_seal_quorum
 from catkincrank.repair import Repair
-from catkincrank.suspicion import ClockGuard, Suspicion
-from catkincrank.trouble import Trouble, find_primary, find_trouble
+from catkincrank.sightings import Sightings
+from catkincrank.suspicion import ClockGuard
+from catkincrank.trouble import Trouble
 
 __all__ = ('Report', 'Supervision', 'SupervisionOptions')
 
 _RANK_DELAY_S = 0.3
-_REACHABLE_SILENCE_S = 1.0
 _BACK_OFF_S = (0.3, 0.9)
 _PATIENCE_S = 5.0
 _PROMOTE_ANYWAY = 'promote'
@@ -90,8 +90,7 @@
         self.options = options
         self.failover: Failover | None = None
         self.trouble: Trouble | None = None
-        self.statuses: dict[str, InstanceStatus] = {}
-        self.suspicions = {name: Suspicion() for name in options.members}
+        self.sightings = Sightings(options.members)
         self.record = ClaimRecord()
         self._confirmation = Confirmation(options.zone)
         self._chance = chance
@@ -101,18 +100,15 @@
         self._idle_until = now
         self._has_waited = False
 
-    def ask(self, endpoint: str, now: float) -> None:
-        """Take in that an instance was asked for its status."""
-        self.suspicions[endpoint].ask(now)
+    @property
+    def is_busy(self) -> bool:
+        """Whether news is awaited."""
+        return self.failover is not None or self.trouble is not None
 
-    def hear(self, status: InstanceStatus, now: float) -> None:
-        """Take in an instance's status."""
-        self.suspicions[status.endpoint].hear(now)
-        self.statuses[status.endpoint] = status
-
-    def fail(self, endpoint: str, reason: str) -> None:
-        """Take in that an instance did not answer."""
-        self.suspicions[endpoint].fail(reason)
+    def change_options(self, options: SupervisionOptions) -> None:
+        """Take in another rank or rule; the members are the same."""
+        self.options = options
+        self._repair.rank = options.rank
 
     def hear_report(self, endpoint: str, report: PeerReport) -> None:
         """Take in another keeper's suspicion."""
@@ -122,7 +118,7 @@
         """Take in the answer to an action; return what to do next."""
         if isinstance(event, Done):
             if event.status is not None:
-                self.hear(event.status, now)
+                self.sightings.hear(event.status, now)
             if event.record is not None:
                 self.record = event.record
         paused_s = self._guard.tick(now)
@@ -142,15 +138,14 @@
         actions = self._update_trouble(now)
         if self.trouble is None:
             return actions + self._repair.tick(
-                self.statuses,
-                self._list_reachable(now),
+                self.sightings.statuses,
+                self.sightings.list_reachable(now),
                 now,
             )
         return actions + self._consider(self.trouble, now)
 
     def _forget_evidence(self, paused_s: float, now: float) -> list[Action]:
-        for suspicion in self.suspicions.values():
-            suspicion.discard(now)
+        self.sightings.discard(now)
         self._confirmation.forget()
         self.trouble = None
         note = Note(
@@ -166,12 +161,7 @@
         return [note, *self._follow_up(abandoned, now)]
 
     def _update_trouble(self, now: float) -> list[Action]:
-        found = find_trouble(
-            self.options.members,
-            self.statuses,
-            self.suspicions,
-            now,
-        )
+        found = self.sightings.find_trouble(now)
         before = self.trouble
         if found is not None and before is not None:
             if (found.kind, found.endpoint) == (before.kind, before.endpoint):
@@ -191,7 +181,7 @@
                 'suspicion',
                 self.trouble.kind.value,
                 'suspected: {0}'.format(self.trouble.endpoint or 'no primary'),
-                _describe_silences(self.suspicions, self.statuses, now),
+                self.sightings.describe(now),
             )
             return [note, ReadClaim()]
         if before is None:
@@ -200,7 +190,7 @@
             'suspicion_cleared',
             before.kind.value,
             'well again: {0}'.format(before.endpoint or 'a primary is known'),
-            _describe_silences(self.suspicions, self.statuses, now),
+            self.sightings.describe(now),
         )
         return [note]
 
@@ -226,7 +216,7 @@
         return actions + self._wait_for_quorum(trouble, now)
 
     def _can_begin(self, now: float) -> bool:
-        reachable = len(self._list_reachable(now))
+        reachable = len(self.sightings.list_reachable(now))
         if reachable >= count_seal_quorum(len(self.options.members)):
             return True
         patience_over_at = self._confirmation.confirmed_at + _PATIENCE_S
@@ -245,36 +235,30 @@
             'failover_waits',
             trouble.kind.value,
             'too few instances answer to know the fullest',
-            _describe_silences(self.suspicions, self.statuses, now),
+            self.sightings.describe(now),
         )
         return [note]
 
     def _begin(self, trouble: Trouble, now: float) -> list[Action]:
         zones = self._confirmation.list_zones(trouble.endpoint, now)
+        term = max(self._highest_term, self.sightings.find_highest_term())
         plan = FailoverPlan(
             self.options.members,
             self.options.keeper,
-            self._find_free_term(),
+            term + 1,
             trouble.kind.value,
             (
                 ('zones', ', '.join(zones)),
-                *_describe_silences(self.suspicions, self.statuses, now),
+                *self.sightings.describe(now),
             ),
             self.options.on_unknown_position,
             self.options.validity_s,
             self.record.version,
-            self._list_silent(now),
+            self.sightings.list_silent(now),
         )
         self.failover = Failover(plan)
         return self.failover.start(now)
 
-    def _find_free_term(self) -> int:
-        terms = [self._highest_term]
-        for status in self.statuses.values():
-            terms.append(status.term)
-            terms.append(status.sealed.term if status.sealed else 0)
-        return max(terms) + 1
-
     def _follow_up(self, actions: list[Action], now: float) -> list[Action]:
         """Close an attempt that is over."""
         failover = self.failover
@@ -294,38 +278,6 @@
             return [*actions, Claim(record)]
         return actions
 
-    def _list_silent(self, now: float) -> tuple[str, ...]:
-        reachable = self._list_reachable(now)
-        return tuple(
-            name for name in self.options.members if name not in reachable
-        )
-
-    def _list_reachable(self, now: float) -> tuple[str, ...]:
-        return tuple(
-            name
-            for name in self.options.members
-            if name in self.statuses
-            and self.suspicions[name].silence_s(now) < _REACHABLE_SILENCE_S
-        )
-
-
-def _describe_silences(
-    suspicions: dict[str, Suspicion],
-    statuses: dict[str, InstanceStatus],
-    now: float,
-) -> tuple[tuple[str, str], ...]:
-    silences = tuple(
-        (
-            'silence {0}'.format(name),
-            '{0:.2f} s {1}'.format(
-                suspicion.silence_s(now),
-                suspicion.reason,
-            ).strip(),
-        )
-        for name, suspicion in suspicions.items()
-    )
-    return (('primary', find_primary(statuses)), *silences)
-
 
 def _make_record(
     keeper: str,
--- /dev/null
+++ b/catkincrank/supervisor.py
@@ -0,0 +1,248 @@
+"""Runs the supervision of every group that a keeper has duty for."""
+
+import random
+from collections.abc import Callable
+from typing import final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from catkincrank.acknowledgements.bounded import BoundedAcknowledgement
+from catkincrank.claims import Claims
+from catkincrank.confirmation import PeerReport
+from catkincrank.endpoint import (
+    EndpointAddress,
+    EndpointConnection,
+    StatementError,
+)
+from catkincrank.errors import EndpointError
+from catkincrank.failoveractions import (
+    Action,
+    Done,
+    Failed,
+    Follow,
+    InstanceAction,
+    Note,
+    Promote,
+    Seal,
+)
+from catkincrank.instance import InstanceStatus, Observation
+from catkincrank.journal import Event
+from catkincrank.logs import Recorder
+from catkincrank.messages import SuspicionReply
+from catkincrank.settings import Service
+from catkincrank.supervision import Report, Supervision, SupervisionOptions
+from catkincrank.watch import Watch
+from catkincrank.watches import WatchSet
+
+__all__ = ('Supervisor',)
+
+_TICK_S = 0.1
+_DELAYS_S = {  # noqa: WPS407
+    'bounded': BoundedAcknowledgement.promotion_delay_s,
+}
+
+
+@final
+class Supervisor:
+    """Carries out what supervisions decide.
+
+    Args:
+        watches: Connections to the instances.
+        claims: The groups' rows in the store.
+        recorder: Keeps decisions in the journal and the log.
+        tasks: Runs actions that are under way.
+        tell: Sends a message to the keepers that share a group's duty.
+        keeper: Name of the keeper and its incarnation, unique to it.
+        zone: Availability zone of the keeper.
+    """
+
+    def __init__(
+        self,
+        watches: WatchSet,
+        claims: Claims,
+        recorder: Recorder,
+        tasks: TaskGroup,
+        tell: Callable[[str, SuspicionReply], None],
+        *,
+        keeper: str,
+        zone: str,
+    ) -> None:
+        self.supervisions: dict[str, Supervision] = {}
+        self._watches = watches
+        self._claims = claims
+        self._recorder = recorder
+        self._tasks = tasks
+        self._tell = tell
+        self._keeper = keeper
+        self._zone = zone
+
+    def set_group(self, group: str, service: Service, rank: int) -> None:
+        """Supervise ``group`` from now on, or change how."""
+        options = SupervisionOptions(
+            tuple(endpoint.name for endpoint in service.endpoints),
+            self._keeper,
+            self._zone,
+            service.on_unknown_position,
+            _DELAYS_S.get(service.acknowledgement, 0),
+            rank,
+        )
+        known = self.supervisions.get(group)
+        if known is not None and known.options.members == options.members:
+            known.change_options(options)
+            return
+        now = anyio.current_time()
+        self.supervisions[group] = Supervision(options, now, random.Random())
+
+    def drop_group(self, group: str) -> None:
+        """No longer supervise ``group``."""
+        self.supervisions.pop(group, None)
+
+    def ask(self, group: str, endpoint: str) -> None:
+        """Take in that an instance was asked for its status."""
+        supervision = self.supervisions.get(group)
+        if supervision is not None:
+            supervision.sightings.ask(endpoint, anyio.current_time())
+
+    def hear(self, group: str, observation: Observation) -> None:
+        """Take in an instance's status."""
+        supervision = self.supervisions.get(group)
+        if supervision is not None:
+            supervision.sightings.hear(observation.status, anyio.current_time())
+
+    def fail(self, group: str, endpoint: str, reason: str) -> None:
+        """Take in that an instance did not answer."""
+        supervision = self.supervisions.get(group)
+        if supervision is not None:
+            supervision.sightings.fail(endpoint, reason)
+
+    def hear_report(self, reply: SuspicionReply) -> None:
+        """Take in another keeper's suspicion."""
+        supervision = self.supervisions.get(reply.group)
+        if supervision is not None and reply.is_suspect:
+            report = PeerReport(
+                reply.keeper,
+                reply.zone,
+                reply.silent_s,
+                anyio.current_time(),
+            )
+            supervision.hear_report(reply.endpoint, report)
+
+    async def run(self) -> None:
+        """Let time pass for every group until cancelled."""
+        while True:
+            now = anyio.current_time()
+            for group, supervision in tuple(self.supervisions.items()):
+                self._act(group, supervision, supervision.tick(now))
+                if supervision.is_busy:
+                    self._watches.hurry(group)
+            await anyio.sleep(_TICK_S)
+
+    def _act(
+        self,
+        group: str,
+        supervision: Supervision,
+        actions: list[Action],
+    ) -> None:
+        for action in actions:
+            match action:
+                case Note():
+                    self._record(group, action)
+                case Report():
+                    self._report(group, supervision, action)
+                case _:
+                    self._tasks.start_soon(
+                        self._perform,
+                        group,
+                        supervision,
+                        action,
+                    )
+
+    async def _perform(
+        self,
+        group: str,
+        supervision: Supervision,
+        action: Action,
+    ) -> None:
+        if isinstance(action, InstanceAction):
+            event = await self._perform_on_instance(group, action)
+        else:
+            event = await self._claims.perform(group, action)
+        if self.supervisions.get(group) is supervision:
+            now = anyio.current_time()
+            self._act(group, supervision, supervision.handle(event, now))
+
+    async def _perform_on_instance(
+        self,
+        group: str,
+        action: InstanceAction,
+    ) -> Done | Failed:
+        watches = self._watches.groups.get(group, {})
+        watch = watches.get(action.endpoint)
+        if watch is None:
+            return Failed(action, 'the instance is not watched')
+        try:
+            status = await _command(watch, action, watches)
+        except (EndpointError, StatementError) as error:
+            return Failed(action, str(error))
+        return Done(action, status)
+
+    def _record(self, group: str, note: Note) -> None:
+        self._recorder.record(
+            Event(
+                note.name,
+                group,
+                note.cause,
+                note.outcome,
+                dict(note.evidence),
+            ),
+        )
+
+    def _report(
+        self,
+        group: str,
+        supervision: Supervision,
+        report: Report,
+    ) -> None:
+        options = supervision.options
+        self._tell(
+            group,
+            SuspicionReply(
+                group,
+                report.endpoint,
+                0,
+                options.keeper,
+                options.zone,
+                is_suspect=True,
+                silent_s=report.silent_s,
+                watches=True,
+            ),
+        )
+
+
+async def _command(
+    watch: Watch,
+    action: InstanceAction,
+    watches: dict[str, Watch],
+) -> InstanceStatus:
+    async def work(connection: EndpointConnection) -> InstanceStatus:  # noqa: WPS430
+        if isinstance(action, Seal):
+            return await connection.seal(action.ballot)
+        if isinstance(action, Promote):
+            return await connection.promote(action.ballot)
+        if isinstance(action, Follow):
+            primary = _find_address(watches, action.primary)
+            return await connection.follow(primary, action.ballot)
+        return await connection.fetch_status()
+
+    return await watch.command(work)
+
+
+def _find_address(
+    watches: dict[str, Watch],
+    endpoint: str,
+) -> EndpointAddress:
+    watch = watches.get(endpoint)
+    if watch is None:
+        raise EndpointError('the primary is not watched', was_sent=False)
+    return watch.target.address
--- a/catkincrank/trouble.py
+++ b/catkincrank/trouble.py
@@ -76,9 +76,10 @@
         return None
     name = find_primary(statuses)
     primary = statuses.get(name)
-    if name in suspicions:
-        silence_s = suspicions[name].silence_s(now)
-        if suspicions[name].is_suspect(now):
+    suspicion = suspicions.get(name)
+    if suspicion is not None:
+        silence_s = suspicion.silence_s(now)
+        if suspicion.is_suspect(now):
             return Trouble(TroubleKind.SILENT, name, now - silence_s, now)
         if primary is None or silence_s >= _DOUBT_S:
             return None
--- /dev/null
+++ b/catkincrank/upstreams.py
@@ -0,0 +1,69 @@
+"""Feeds of groups that this keeper has no duty for, from keepers that have."""
+
+from typing import final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from catkincrank.feed import Feed
+from catkincrank.feedclient import FeedClient, KeeperAddress
+from catkincrank.membership import PeerAddress
+from catkincrank.messages import Hello
+
+__all__ = ('Upstreams',)
+
+
+@final
+class Upstreams:
+    """One subscription for each group that is watched elsewhere.
+
+    Args:
+        hello: What this process says of itself.
+        feed: The feed to fill.
+        tasks: Runs the subscriptions.
+    """
+
+    __slots__ = ('_clients', '_feed', '_hello', '_scopes', '_tasks')
+
+    def __init__(self, hello: Hello, feed: Feed, tasks: TaskGroup) -> None:
+        self._hello = hello
+        self._feed = feed
+        self._tasks = tasks
+        self._clients: dict[str, FeedClient] = {}
+        self._scopes: dict[str, anyio.CancelScope] = {}
+
+    def set_group(self, group: str, watchers: tuple[PeerAddress, ...]) -> None:
+        """Subscribe to ``group`` at the first of ``watchers`` that answers."""
+        keepers = tuple(
+            KeeperAddress(peer.name, peer.host, peer.port) for peer in watchers
+        )
+        known = self._clients.get(group)
+        if known is not None and set(known.keepers) == set(keepers):
+            return
+        self.drop_group(group)
+        if not keepers:
+            return
+        client = FeedClient(self._hello, keepers, self._feed)
+        client.interest.add(group)
+        scope = anyio.CancelScope()
+        self._clients[group] = client
+        self._scopes[group] = scope
+        self._tasks.start_soon(_run, client, scope)
+
+    def drop_group(self, group: str) -> None:
+        """No longer subscribe to ``group``."""
+        self._clients.pop(group, None)
+        scope = self._scopes.pop(group, None)
+        if scope is not None:
+            scope.cancel()
+
+    def hurry(self, group: str) -> None:
+        """Say that somebody waits for news of ``group``."""
+        client = self._clients.get(group)
+        if client is not None:
+            client.interest.hurry(group)
+
+
+async def _run(client: FeedClient, scope: anyio.CancelScope) -> None:
+    with scope:
+        await client.run()
--- a/catkincrank/watch.py
+++ b/catkincrank/watch.py
@@ -55,6 +55,9 @@
 class WatchListener:
     """Gets what a watch finds out; the base class ignores it."""
 
+    def on_ask(self, group: str, endpoint: str) -> None:
+        """Take in that an instance is asked for its status."""
+
     def on_status(self, group: str, observation: Observation) -> None:
         """Take in an answer of an instance."""
 
@@ -147,6 +150,10 @@
         await self._rest()
 
     async def _read(self) -> None:
+        self._listener.on_ask(
+            self.target.group,
+            self.target.address.endpoint,
+        )
         taken_at, status = await self.command(
             _fetch_status,
             _CONNECT_TIMEOUT_S,
--- a/tests/failovermodel.py
+++ b/tests/failovermodel.py
@@ -61,11 +61,13 @@
         """Do what the driver does for one action."""
         held = self.sealed
         ballot = action.ballot
-        if isinstance(action, actions.Seal) and held.term < ballot.term:
-            self.sealed, self.follows, self.is_read_only = ballot, '', True
+        is_free = held.term < ballot.term
+        if isinstance(action, actions.Seal):
+            if is_free or (held == ballot and self.follows):
+                self.sealed, self.follows, self.is_read_only = ballot, '', True
         elif isinstance(action, actions.Promote) and held == ballot:
-            if self.role is Role.REPLICA:
-                self.role, self.follows = Role.PRIMARY, ''
+            if self.role is Role.REPLICA and not self.follows:
+                self.role = Role.PRIMARY
                 self.history = self.history.extend(ballot.term, len(self.log))
             self.is_read_only = False
         elif isinstance(action, actions.Follow) and held.term <= ballot.term:
@@ -262,9 +264,7 @@
         if found is None or len(caller.pending) > MOST_PENDING:
             return
         instance = self.instances[found.status.endpoint]
-        can_write = (
-            instance.role is Role.PRIMARY and not instance.is_read_only
-        )
+        can_write = instance.role is Role.PRIMARY and not instance.is_read_only
         if not instance.serves or not can_write:
             return
         if self.is_cut(caller.name, instance.name):
@@ -311,16 +311,16 @@
 
     def _poll(self, keeper, name):
         def work():
-            keeper.supervision.ask(name, self.now)
+            keeper.supervision.sightings.ask(name, self.now)
             ballot = Ballot(0, '')
             self._ask(keeper, actions.Read(name, ballot), again, again)
 
         def again(result):
             if isinstance(result, actions.Failed):
-                keeper.supervision.fail(name, result.reason)
+                keeper.supervision.sightings.fail(name, result.reason)
                 self._later(0.3, lambda: self._poll(keeper, name))
                 return
-            keeper.supervision.hear(result.status, self.now)
+            keeper.supervision.sightings.hear(result.status, self.now)
             self._publish(keeper, result.status)
             failing = keeper.supervision.trouble or keeper.supervision.failover
             delay = 0.05 if failing or self._is_awaited() else POLL_S
@@ -430,10 +430,13 @@
                 )
                 other.supervision.hear_report(report.endpoint, told)
 
-            self._later(0.003, lambda hear=hear, other=other: self._defer(
-                other,
-                hear,
-            ))
+            self._later(
+                0.003,
+                lambda hear=hear, other=other: self._defer(
+                    other,
+                    hear,
+                ),
+            )
 
     def _ask_store(self, keeper, action, finish):
         def answer():
--- a/tests/test_faults_failover.py
+++ b/tests/test_faults_failover.py
@@ -211,7 +211,7 @@
 
     def promote_anyone(instance, action):
         if isinstance(action, failoversteps.Promote):
-            instance.sealed = action.ballot
+            instance.sealed, instance.follows = action.ballot, ''
         return apply(instance, action)
 
     monkeypatch.setattr(failovermodel.Instance, 'apply', promote_anyone)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -59,6 +59,7 @@
         'c',
         crosses_zones=True,
     ),
+    'probe': messages.Probe('vm1', 'z', '127.0.0.1', 7432, 3, is_leaving=True),
     'settingsRequest': messages.SettingsRequest(
         (messages.TeamVersion('t', 3),),
     ),
