--- a/catkincrank/proxyprogram.py
+++ b/catkincrank/proxyprogram.py
@@ -2,13 +2,24 @@
 
 import os
 from dataclasses import dataclass
-from typing import final
+from functools import partial
+from typing import Any, final
 
+from catkincrank.admin import AdminHooks, AdminServer
 from catkincrank.errors import OptionError
 from catkincrank.feedclient import KeeperAddress
-from catkincrank.proxy import ProxyOptions, serve
+from catkincrank.metrics import Metrics
+from catkincrank.proxy import Proxy, ProxyOptions, serve
+from catkincrank.proxystate import describe_proxy
+from catkincrank.shutdown import stop_at_signal
 
-__all__ = ('KeeperFlag', 'ProxyFlags', 'run')
+__all__ = (
+    'KeeperFlag',
+    'ProxyFlags',
+    'drain_at_signal',
+    'run',
+    'serve_admin',
+)
 
 
 @final
@@ -69,5 +80,27 @@
             keepers=tuple(keeper.address for keeper in flags.keepers),
             environment=os.environ,
             drain_limit_s=flags.drain_limit_s,
+            extensions=(drain_at_signal, partial(serve_admin, flags)),
         ),
     )
+
+
+async def drain_at_signal(proxy: Proxy) -> None:
+    """Drain a proxy at the first signal to stop."""
+    await stop_at_signal(proxy.request_drain)
+
+
+async def serve_admin(flags: ProxyFlags, proxy: Proxy) -> None:
+    """Serve the admin port of a proxy."""
+    metrics = Metrics()
+    proxy.tally.expose(metrics)
+    hooks = AdminHooks(
+        dump_state=partial(_dump_state, proxy),
+        list_obstacles=proxy.list_obstacles,
+        request_drain=proxy.request_drain,
+    )
+    await AdminServer(hooks, metrics).serve(flags.admin_host, flags.admin_port)
+
+
+def _dump_state(proxy: Proxy) -> dict[str, Any]:
+    return describe_proxy(proxy).as_map()
