--- a/catkincrank/keeper.py
+++ b/catkincrank/keeper.py
@@ -7,6 +7,7 @@
 from anyio.abc import TaskGroup, TaskStatus
 from loguru import logger
 
+from catkincrank import endpoints  # noqa: F401
 from catkincrank.claims import Claims
 from catkincrank.dispatcher import Dispatcher, Peer
 from catkincrank.feed import Feed
