Fault matrix of a request, and a lease that a cancelled write leaked

A write that was cancelled while it settled a doubt kept its lease and the open transaction, so the endpoint took no further write: such a lease is now discarded. The stand-in's receiver no longer spins when a clock with steps stops just before a record is due.

--- a/catkincrank/assembly.py
+++ b/catkincrank/assembly.py
@@ -25,6 +25,7 @@
     catalog: Catalog,
     zone: str,
     tally: Tally,
+    source: random.Random | None = None,
 ) -> Executor:
     """Return an executor with every variant registered.
 
@@ -34,8 +35,9 @@
         catalog: Services in force.
         zone: Availability zone of the proxy.
         tally: Takes counts of outcomes.
+        source: Random numbers that spread retries.
     """
-    retries = Retries(random.Random())
+    retries = Retries(source or random.Random())
     reader = Reader(news, leases, retries, tally, zone)
     primaries = PrimaryFinder(news, leases, retries)
     acknowledger = Acknowledger(news)
--- a/catkincrank/grouppools.py
+++ b/catkincrank/grouppools.py
@@ -82,6 +82,7 @@
     Args:
         options: How connections are opened.
         tasks: Runs what takes time.
+        source: Random numbers that spread attempts to connect.
     """
 
     __slots__ = (
@@ -93,10 +94,15 @@
         '_tasks',
     )
 
-    def __init__(self, options: PoolsOptions, tasks: TaskGroup) -> None:
+    def __init__(
+        self,
+        options: PoolsOptions,
+        tasks: TaskGroup,
+        source: random.Random | None = None,
+    ) -> None:
         self._options = options
         self._tasks = tasks
-        self._source = random.Random()
+        self._source = source or random.Random()
         self._groups: dict[str, dict[str, Member]] = {}
         self._logins: dict[str, Service] = {}
         self._runners: dict[tuple[str, int], PoolRunner] = {}
--- a/catkincrank/standins/faults.py
+++ b/catkincrank/standins/faults.py
@@ -1,137 +1,107 @@
-"""Faults that a script strikes a deployment with, by name."""
+"""Faults of networks, proxies and callers; each heals after a while."""
 
 from collections.abc import Awaitable, Callable
-from typing import final
+from typing import Any, TypeAlias
 
 import anyio
 
-from catkincrank.load.profile import FaultStep
-from catkincrank.records import (
-    DrainBegan,
-    ProcessChanged,
-    ProcessState,
-    RecordedHistory,
-)
+from catkincrank.records import ProcessChanged, ProcessState
 from catkincrank.registry import Registry
-from catkincrank.standins.deployment import Deployment
+from catkincrank.standins.scenario import Scenario
 
-__all__ = ('FaultScript', 'faults')
+__all__ = ('Fault', 'faults', 'heal_later')
 
-_Fault = Callable[['FaultScript', FaultStep], Awaitable[None]]
-faults: Registry[_Fault] = Registry('fault')
+_SHORT_S = 0.6
+_LONG_S = 5
 
-
-@final
-class FaultScript:
-    """Strikes a deployment at the times of a timeline.
-
-    Args:
-        deployment: What to strike.
-        history: Takes the records.
-
-    Attributes:
-        struck: Primary that each service lost last.
-        log: Steps taken and when, on the runtime's clock.
-    """
-
-    def __init__(
-        self,
-        deployment: Deployment,
-        history: RecordedHistory,
-    ) -> None:
-        self.deployment = deployment
-        self.history = history
-        self.struck: dict[str, str] = {}
-        self.log: list[tuple[float, FaultStep]] = []
-
-    async def run(self, started_at: float) -> None:
-        """Take every step of the profile at its time."""
-        for step in self.deployment.profile.faults:
-            await anyio.sleep_until(started_at + step.at_s)  # noqa: WPS476
-            await self.strike(step)  # noqa: WPS476
-
-    async def strike(self, step: FaultStep) -> None:
-        """Take one step now."""
-        self.log.append((anyio.current_time(), step))
-        await faults.find(step.action)(self, step)
-
-    def name_group(self, step: FaultStep) -> str:
-        """Return the group that a step strikes."""
-        team = self.deployment.profile.team
-        return '{0}/{1}'.format(team, step.service)
-
-
-@faults.register('kill_primary')
-async def _kill_primary(script: FaultScript, step: FaultStep) -> None:
-    group = script.deployment.groups[script.name_group(step)]
-    script.struck[step.service] = group.primary
-    group.kill(group.primary)
-
-
-@faults.register('freeze_primary')
-async def _freeze_primary(script: FaultScript, step: FaultStep) -> None:
-    group = script.deployment.groups[script.name_group(step)]
-    script.struck[step.service] = group.primary
-    group.freeze(group.primary)
-
-
-@faults.register('resume')
-async def _resume(script: FaultScript, step: FaultStep) -> None:
-    group = script.deployment.groups[script.name_group(step)]
-    group.resume(script.struck[step.service])
-
-
-@faults.register('restart')
-async def _restart(script: FaultScript, step: FaultStep) -> None:
-    group = script.deployment.groups[script.name_group(step)]
-    await group.restart(script.struck[step.service])
-
-
-@faults.register('partition_primary')
-async def _partition_primary(script: FaultScript, step: FaultStep) -> None:
-    """Cut a primary from its replicas and from callers in other zones."""
-    name = script.name_group(step)
-    group = script.deployment.groups[name]
-    primary = group.primary
-    script.struck[step.service] = primary
-    for other in group.addresses():
-        if other != primary:
-            group.cut(primary, other)
-    for wire in script.deployment.find_wires(name, primary):
-        wire.cut()
-
-
-@faults.register('heal')
-async def _heal(script: FaultScript, step: FaultStep) -> None:
-    name = script.name_group(step)
-    script.deployment.groups[name].heal()
-    for wire in script.deployment.find_wires(name, script.struck[step.service]):
-        wire.heal()
-
-
-@faults.register('drain')
-async def _drain(script: FaultScript, step: FaultStep) -> None:
-    script.history.add(DrainBegan(anyio.current_time(), step.proxy))
-    script.deployment.proxies[step.proxy].request_drain()
-
-
-@faults.register('kill_proxy')
-async def _kill_proxy(script: FaultScript, step: FaultStep) -> None:
-    script.history.add(
-        ProcessChanged(
-            anyio.current_time(),
-            step.proxy,
-            ProcessState.KILLED,
-        ),
+Fault: TypeAlias = Callable[[Scenario, str], Awaitable[None]]
+
+faults: Registry[Fault] = Registry('fault')
+
+
+def heal_later(
+    scenario: Scenario,
+    seconds: float,
+    function: Callable[..., Any],
+    *args: Any,
+) -> None:
+    """Call ``function`` after a while."""
+
+    async def run() -> None:  # noqa: WPS430
+        await anyio.sleep(seconds)
+        outcome = function(*args)
+        if outcome is not None:
+            await outcome
+
+    scenario.tasks.start_soon(run)
+
+
+@faults.register('cut_primary_from_replicas')
+async def _cut_replicas(scenario: Scenario, origin: str) -> None:
+    network = scenario.model.network
+    network.isolate(scenario.find_primary(), scenario.model.servers)
+    heal_later(scenario, _LONG_S, network.heal)
+
+
+@faults.register('cut_primary_from_callers')
+async def _cut_callers(scenario: Scenario, origin: str) -> None:
+    network = scenario.model.network
+    network.isolate(scenario.find_primary(), scenario.proxies)
+    heal_later(scenario, _LONG_S, network.heal)
+
+
+@faults.register('cut_primary_off')
+async def _cut_off(scenario: Scenario, origin: str) -> None:
+    others = (
+        *scenario.model.servers,
+        *scenario.proxies,
+        scenario.keeper.name,
     )
-    script.deployment.kill_process(step.proxy)
+    network = scenario.model.network
+    network.isolate(scenario.find_primary(), others)
+    heal_later(scenario, _LONG_S, network.heal)
+
+
+@faults.register('cut_primary_off_with_proxy')
+async def _cut_off_with_proxy(scenario: Scenario, origin: str) -> None:
+    """The old primary and the proxy stay together on the small side."""
+    network = scenario.model.network
+    primary = scenario.find_primary()
+    others = [name for name in scenario.model.servers if name != primary]
+    others.append(scenario.keeper.name)
+    network.isolate(primary, others)
+    network.isolate(origin, others)
+    heal_later(scenario, _LONG_S, network.heal)
+
+
+@faults.register('proxy_killed')
+async def _kill_proxy(scenario: Scenario, origin: str) -> None:
+    now = anyio.current_time()
+    scenario.history.add(ProcessChanged(now, origin, ProcessState.KILLED))
+    await scenario.proxies[origin].kill()
+    heal_later(scenario, _SHORT_S, scenario.start_proxy, origin)
+
+
+@faults.register('proxy_paused')
+async def _pause(scenario: Scenario, origin: str) -> None:
+    """The proxy stands still while its primary is replaced."""
+    scenario.model.network.pause(origin)
+    scenario.keeper.is_forced = True
+    heal_later(scenario, _LONG_S, scenario.model.network.resume, origin)
+
+
+@faults.register('connections_silent')
+async def _silence(scenario: Scenario, origin: str) -> None:
+    scenario.model.silence(origin)
 
 
-@faults.register('store_down')
-async def _stop_store(script: FaultScript, step: FaultStep) -> None:
-    script.deployment.platform.faults.is_down = True
+@faults.register('answers_late')
+async def _delay_answers(scenario: Scenario, origin: str) -> None:
+    network = scenario.model.network
+    network.isolate(origin, scenario.model.servers)
+    heal_later(scenario, _SHORT_S, network.heal)
 
 
-@faults.register('store_up')
-async def _start_store(script: FaultScript, step: FaultStep) -> None:
-    script.deployment.platform.faults.is_down = False
+@faults.register('caller_cancels')
+async def _cancel(scenario: Scenario, origin: str) -> None:
+    scenario.traffic.cancel(origin)
--- a/catkincrank/standins/modelconnection.py
+++ b/catkincrank/standins/modelconnection.py
@@ -1,5 +1,6 @@
 """Connections to the instances of a model group, without sockets."""
 
+import itertools
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any, final
 
@@ -27,6 +28,7 @@
 __all__ = ('ModelConnection',)
 
 _NOTICE_S = 2
+_numbers = itertools.count(1)
 
 
 @final
@@ -53,6 +55,7 @@
         self.origin = path.origin
         self.incarnation = server.instance.incarnation
         self.is_silent = False
+        self._number = next(_numbers)
         self._server = server
         self._path = path
         self._side = ServerSide(server.instance)
@@ -137,7 +140,13 @@
         if self._is_broken:
             raise EndpointError('the connection is closed', was_sent=False)
         name = self._server.instance.name
-        event = StepEvent(self.origin, name, sql, self.application)
+        event = StepEvent(
+            self.origin,
+            name,
+            sql,
+            self._number,
+            _find_owner(args),
+        )
         await self._path.step(event, Step.SENDING)
         reply = _Reply(lambda: work(*args))
         self._path.spawn(self._serve, event, reply)
@@ -152,8 +161,8 @@
 
     async def _serve(self, event: StepEvent, reply: '_Reply') -> None:
         """Bring a statement to the instance and its answer back."""
+        await self._arrive(event)
         async with self._side.busy:
-            await self._arrive(event)
             if not self._is_open:
                 return
             await self._work(reply)
@@ -216,6 +225,14 @@
         self.status = TransactionStatus.IDLE
 
 
+def _find_owner(args: tuple[Any, ...]) -> str:
+    """Return the first parameter of a statement, if it has any."""
+    params = args[-1] if args else ()
+    if isinstance(params, list) and params:
+        return str(params[0])
+    return ''
+
+
 def _call(function: Callable[..., Any]) -> Callable[..., Awaitable[Any]]:
     async def call(*args: Any) -> Any:  # noqa: WPS430
         return function(*args)
--- a/catkincrank/standins/modelpath.py
+++ b/catkincrank/standins/modelpath.py
@@ -29,13 +29,15 @@
         origin: Process that sends it.
         endpoint: Instance that it is for.
         sql: Its text, or the name of a control call.
-        application: Name of the connection's owner.
+        connection_id: Number of the connection.
+        owner: First parameter, which names the request in a scenario.
     """
 
     origin: str
     endpoint: str
     sql: str
-    application: str
+    connection_id: int = 0
+    owner: str = ''
 
 
 Hook: TypeAlias = Callable[[StepEvent, Step], Awaitable[None]]
--- a/catkincrank/standins/replication.py
+++ b/catkincrank/standins/replication.py
@@ -14,6 +14,7 @@
 
 _IDLE_POLL_S = 0.05
 _REBUILD_S = 0.2
+_CLOCK_STEP_S = 1e-6
 
 
 @final
@@ -103,7 +104,7 @@
         own.history = other.history
 
     def _list_due(self, source: StandinServer) -> list[Record]:
-        now = anyio.current_time()
+        now = anyio.current_time() + _CLOCK_STEP_S
         pending = source.instance.log.list_after(self._instance.log.end)
         return [
             record
--- a/catkincrank/writing.py
+++ b/catkincrank/writing.py
@@ -110,6 +110,9 @@
         except (StatementError, RequestError):
             await self._leases.roll_back(lease)
             raise
+        except BaseException:
+            self._leases.discard(lease)
+            raise
         request.progress = Progress.COMMITTED
         await self._leases.release(lease)
         await self._acknowledger.confirm(request, mark)
