Read no verdict into a SQLSTATE that the endpoint may have sent

57P01 and 53300 also come from PostgreSQL itself, where they say nothing of what ran. Only the states of a connection that was never made count as not run without the proxy's own detail line.

--- a/catkincrank/client.py
+++ b/catkincrank/client.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Any, final
 
-from catkincrank.verdict import Reason, Verdict
+from catkincrank.verdict import Verdict
 
 __all__ = ('Failure', 'classify_error', 'format_options', 'quote_value')
 
@@ -16,9 +16,7 @@
 _RETRY_AFTER = re.compile(r'^retry_after: ([\d.]+)$', re.MULTILINE)
 _TOKEN = re.compile('^session: (.+)$', re.MULTILINE)
 _PREFIX = 'catkincrank.'
-_NEVER_SENT_STATES = frozenset(
-    ('08001', '08004', Reason.DRAINING.value, Reason.OVERLOADED.value),
-)
+_NEVER_SENT_STATES = frozenset(('08001', '08004'))
 
 
 @final
