--- a/catkincrank/feed.py
+++ b/catkincrank/feed.py
@@ -174,7 +174,11 @@
 
     def evidence(self, group: str) -> GroupEvidence:
         """Return the facts about ``group``."""
-        return self._groups.setdefault(group, GroupEvidence())
+        known = self._groups.get(group)
+        if known is None:
+            known = GroupEvidence()
+            self._groups[group] = known
+        return known
 
     def set_members(self, group: str, endpoints: Iterable[str]) -> None:
         """Say which instances the group has; majorities are taken of them."""
