Take callers' messages out of one buffer

Each message was read by two awaits on the stream; three messages make one statement. What has arrived is now read at once and cut up. Large messages are still read whole.

--- a/catkincrank/callerconnection.py
+++ b/catkincrank/callerconnection.py
@@ -29,6 +29,8 @@
 
 _MAX_MESSAGE_BYTES = 0x4000000
 _MAX_STARTUP_BYTES = 10_000
+_READ_BYTES = 65536
+_HEADER_BYTES = 5
 _LENGTH = struct.Struct('!i')
 _BAD_PASSWORD = '28P01'
 _NOT_SUPPORTED = '0A000'
@@ -54,6 +56,8 @@
     def __init__(self, reader: Any, writer: Any) -> None:
         super().__init__(reader, writer)
         self._pending: list[bytes] = []
+        self._received = b''
+        self._offset = 0
 
     def write(self, data: bytes) -> None:
         """Keep ``data`` until ``drain``."""
@@ -76,12 +80,29 @@
 
     async def read_message(self) -> tuple[bytes, bytes]:
         """Read one message."""
-        header = await self._read_exactly(5)
-        length = _LENGTH.unpack_from(header, 1)[0]
-        if not 4 <= length <= _MAX_MESSAGE_BYTES:
+        begin = await self._receive(_HEADER_BYTES)
+        length = _LENGTH.unpack_from(self._received, begin + 1)[0]
+        if not _LENGTH.size <= length <= _MAX_MESSAGE_BYTES:
             raise ConnectionClosed
-        payload = await self._read_exactly(length - 4) if length > 4 else b''
-        return header[:1], payload
+        begin = await self._receive(length + 1)
+        end = begin + length + 1
+        self._offset = end
+        tag = self._received[begin : begin + 1]
+        return tag, self._received[begin + _HEADER_BYTES : end]
+
+    async def _receive(self, size: int) -> int:
+        """Have ``size`` bytes at hand; return where they begin."""
+        while len(self._received) - self._offset < size:
+            missing = size - len(self._received) + self._offset
+            if missing > _READ_BYTES:
+                fresh = await self._read_exactly(missing)
+            else:
+                fresh = await self.reader.read(_READ_BYTES)
+            if not fresh:
+                raise ConnectionClosed
+            self._received = self._received[self._offset :] + fresh
+            self._offset = 0
+        return self._offset
 
 
 @final
