--- a/catkincrank/executor.py
+++ b/catkincrank/executor.py
@@ -181,7 +181,10 @@
     ) -> OutcomeT:
         """Do ``work`` until the request's deadline or its cancellation."""
         with session.limit(request.deadline_at):
-            return await work(session, request)
+            try:  # noqa: WPS501
+                return await work(session, request)
+            finally:
+                session.leave()
         raise _explain_cut(session, request)
 
     async def _dispatch(self, session: Session, request: Request) -> Answer:
--- a/catkincrank/session.py
+++ b/catkincrank/session.py
@@ -1,7 +1,5 @@
 """A caller's session: what outlives its statements."""
 
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
 from typing import TYPE_CHECKING, final
 
 import anyio
@@ -109,21 +107,18 @@
             return self.show_token()
         return self.options.show(name)
 
-    @contextmanager
-    def limit(self, deadline: float) -> Iterator[None]:
-        """Run a statement until ``deadline`` or a cancellation."""
+    def limit(self, deadline: float) -> anyio.CancelScope:
+        """Return the scope of a statement that may run until ``deadline``."""
         self.is_cancelled = False
-        with anyio.CancelScope(deadline=deadline) as scope:
-            with ExitStack() as stack:
-                stack.callback(self._leave)
-                self._scope = scope
-                yield
+        self._scope = anyio.CancelScope(deadline=deadline)
+        return self._scope
+
+    def leave(self) -> None:
+        """Note that the statement ended."""
+        self._scope = None
 
     def cancel(self) -> None:
         """Cut off the statement that runs now, if any."""
         if self._scope is not None:
             self.is_cancelled = True
             self._scope.cancel()
-
-    def _leave(self) -> None:
-        self._scope = None
