--- a/catkincrank/grouppools.py
+++ b/catkincrank/grouppools.py
@@ -1,7 +1,7 @@
 """Pools of connections to the endpoints of each group."""
 
 import random
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 from typing import final
@@ -73,6 +73,28 @@
         )
 
 
+@final
+class _GroupLoads(Mapping[str, EndpointLoad]):
+    """Loads of a group's endpoints, worked out when they are looked at."""
+
+    __slots__ = ('_members',)
+
+    def __init__(self, members: Mapping[str, Member]) -> None:
+        self._members = members
+
+    def __getitem__(self, name: str) -> EndpointLoad:
+        return self._members[name].describe_load()
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._members)
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __contains__(self, name: object) -> bool:
+        return name in self._members
+
+
 @final
 class GroupPools:
     """Pools of every group that the proxy serves.
@@ -118,12 +140,9 @@
         """Take no more requests of a group that went."""
         self._groups.pop(group, None)
 
-    def loads(self, group: str) -> dict[str, EndpointLoad]:
+    def loads(self, group: str) -> Mapping[str, EndpointLoad]:
         """Return how busy each of a group's endpoints is."""
-        return {
-            name: member.describe_load()
-            for name, member in self._groups.get(group, {}).items()
-        }
+        return _GroupLoads(self._groups.get(group, {}))
 
     def list_pools(self) -> list[PoolState]:
         """Return what the state dump shows of each pool."""
--- a/catkincrank/pool.py
+++ b/catkincrank/pool.py
@@ -81,7 +81,7 @@
     @property
     def in_use(self) -> int:
         """Connections that requests hold."""
-        return len(self._supply.places.of_state(PlaceState.LEASED))
+        return self._supply.places.count_of(PlaceState.LEASED)
 
     @property
     def waiting(self) -> int:
--- a/catkincrank/poolplaces.py
+++ b/catkincrank/poolplaces.py
@@ -104,6 +104,12 @@
         """Return the places in ``states``, the oldest first."""
         return [place for place in self if place.state in states]
 
+    def count_of(self, state: PlaceState) -> int:
+        """Return how many places are in ``state``."""
+        return len(
+            [place for place in self._places.values() if place.state is state],
+        )
+
     def count(self) -> dict[str, int]:
         """Return how many places are in each state."""
         counts = dict.fromkeys(map(str, PlaceState), 0)
--- a/catkincrank/poolsupply.py
+++ b/catkincrank/poolsupply.py
@@ -93,6 +93,8 @@
 
     def serve(self, queue: FairQueue, now: float) -> list[PoolAction]:
         """Give the requests in ``queue`` what there is, and open more."""
+        if not queue:
+            return []
         return [
             *self._probe_suspects(queue, now),
             *self._grant_idle(queue, now),
