--- a/catkincrank/pool.py
+++ b/catkincrank/pool.py
@@ -10,7 +10,7 @@
 from typing import final
 
 from catkincrank.fairness import FairQueue, QueueEntry
-from catkincrank.poolactions import PoolAction, RefusalCause, Refuse
+from catkincrank.poolactions import Grant, PoolAction, RefusalCause, Refuse
 from catkincrank.poolplaces import PlaceState
 from catkincrank.poolsupply import PoolOptions, Supply, close_place
 
@@ -100,6 +100,9 @@
 
     def ask(self, entry: QueueEntry, now: float) -> list[PoolAction]:
         """Take in a request for a connection."""
+        granted = self._grant_at_once(entry, now)
+        if granted is not None:
+            return [granted]
         refusal = self._refuse_early(entry, now)
         if refusal is not None:
             return [refusal]
@@ -223,6 +226,15 @@
             times.append(self._supply.open_at)
         return min(times, default=_FOREVER)
 
+    def _grant_at_once(self, entry: QueueEntry, now: float) -> Grant | None:
+        """Grant an idle connection when nobody waits."""
+        if self.is_leaving or entry.deadline <= now or self._queue:
+            return None
+        place = self._supply.take_idle(entry.login, now)
+        if place is None:
+            return None
+        return Grant(entry.request_id, place.connection_id)
+
     def _refuse_early(self, entry: QueueEntry, now: float) -> Refuse | None:
         """Refuse at once what could not be served in time."""
         if self.is_leaving:
--- a/catkincrank/poolsupply.py
+++ b/catkincrank/poolsupply.py
@@ -101,6 +101,18 @@
             *self._open_more(queue, now),
         ]
 
+    def take_idle(self, login: str, now: float) -> Place | None:
+        """Lease the connection used last; ``None`` while any is suspect."""
+        idle = self.places.of_state(PlaceState.IDLE)
+        if any(place.is_suspect for place in idle):
+            return None
+        fitting = [place for place in idle if place.login == login]
+        if not fitting:
+            return None
+        chosen = max(fitting, key=_used_at)
+        chosen.enter(PlaceState.LEASED, now)
+        return chosen
+
     def keep(self, place: Place, now: float) -> list[PoolAction]:
         """Make a connection that has just answered free for requests."""
         place.hear(now)
