Choose encoders once an answer, keep the primary found

Each value looked its type up again, integers went through text and object twice, and a read searched the feed for the primary four times.

--- a/catkincrank/callerconnection.py
+++ b/catkincrank/callerconnection.py
@@ -17,6 +17,7 @@
     CallerPortal,
     CallerSession,
     encode_values,
+    find_encoders,
 )
 from catkincrank.endpoint import Answer
 from catkincrank.session import Session
@@ -233,10 +234,10 @@
         rows: Sequence[tuple[str | None, ...]],
         formats: list[int],
     ) -> None:
-        columns = answer.columns or ()
+        encoders = find_encoders(answer.columns or (), formats)
         try:
             for row in rows:
-                encoded = encode_values(row, columns, formats)
+                encoded = encode_values(row, encoders)
                 self.stream.write(messages.make_data_row(encoded))
         except ValueError as error:
             raise PgError(_NOT_SUPPORTED, str(error), D=_RAN) from None
--- a/catkincrank/callersession.py
+++ b/catkincrank/callersession.py
@@ -1,6 +1,6 @@
 """Prepared statements and portals of callers, on top of the executor."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any, final
 
 from loguru import logger
@@ -16,7 +16,7 @@
 from catkincrank.executor import Executor
 from catkincrank.session import Session
 from catkincrank.statement import Kind, Statement, classify, split
-from catkincrank.textvalues import encode_binary
+from catkincrank.textvalues import find_encoder
 from catkincrank.verdict import RequestError, Verdict
 
 __all__ = (
@@ -24,6 +24,7 @@
     'CallerSession',
     'PreparedStatement',
     'encode_values',
+    'find_encoders',
 )
 
 _EXPECTED_ERRORS = (RequestError, StatementError, OptionError)
@@ -217,29 +218,28 @@
         )
 
 
-def encode_values(
-    row: Sequence[str | None],
+def find_encoders(
     columns: Sequence[Column],
     formats: list[int],
-) -> list[bytes | None]:
-    """Return a row's values in the forms that the caller asked for."""
-    if not any(formats):
-        return [None if text is None else text.encode() for text in row]
+) -> list[Callable[[str], bytes]]:
+    """Return what puts each column into the form that the caller wants."""
     return [
-        None if text is None else _encode_value(text, column, formats, index)
-        for index, (text, column) in enumerate(zip(row, columns, strict=True))
+        find_encoder(column.oid)
+        if format_code_for(formats, index)
+        else str.encode
+        for index, column in enumerate(columns)
     ]
 
 
-def _encode_value(
-    text: str,
-    column: Column,
-    formats: list[int],
-    index: int,
-) -> bytes:
-    if format_code_for(formats, index) == 0:
-        return text.encode()
-    return encode_binary(column.oid, text)
+def encode_values(
+    row: Sequence[str | None],
+    encoders: Sequence[Callable[[str], bytes]],
+) -> list[bytes | None]:
+    """Return a row's values in the forms that the caller asked for."""
+    return [
+        None if text is None else encode(text)
+        for text, encode in zip(row, encoders, strict=True)
+    ]
 
 
 def _merge_oids(
--- a/catkincrank/feed.py
+++ b/catkincrank/feed.py
@@ -34,6 +34,7 @@
     """
 
     __slots__ = (
+        '_found',
         '_promises',
         '_witnesses',
         'accepted',
@@ -53,6 +54,7 @@
         self.revision = 0
         self._promises: dict[str, dict[int, float]] = {}
         self._witnesses = WitnessLog()
+        self._found: tuple[int, Observation | None] = (-1, None)
 
     @property
     def majority(self) -> int:
@@ -71,6 +73,14 @@
         self.revision += 1
         return True
 
+    def find_primary(self) -> Observation | None:
+        """Return the primary of the newest term, unless it is not known."""
+        revision, found = self._found
+        if revision != self.revision:
+            found = self._search_primary()
+            self._found = (self.revision, found)
+        return found
+
     def unreplaced_at(self, term: int) -> float:
         """Return the newest time at which no later term can have begun.
 
@@ -98,6 +108,14 @@
             return _NEVER
         return min(witness.taken_at, self.unreplaced_at(witness.mark.term))
 
+    def _search_primary(self) -> Observation | None:
+        newest = max(self.lineages, default=0)
+        for observation in self.observations.values():
+            status = observation.status
+            if status.role is Role.PRIMARY and status.term == newest:
+                return observation
+        return None
+
     def _unpromised_at(self, endpoint: str, term: int) -> float:
         times = self._promises.get(endpoint, {})
         return max(
@@ -202,14 +220,7 @@
 
     def primary(self, group: str) -> Observation | None:
         """Return the primary of the newest term, unless it is not known."""
-        history = self.history(group)
-        if history is None:
-            return None
-        for observation in self.observations(group).values():
-            status = observation.status
-            if status.role is Role.PRIMARY and status.term == history.term:
-                return observation
-        return None
+        return self.evidence(group).find_primary()
 
     def history(self, group: str) -> History | None:
         """Return the history of the newest term."""
--- a/catkincrank/textvalues.py
+++ b/catkincrank/textvalues.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 from datetime import UTC, date, datetime, time, timedelta
+from functools import partial
+from struct import Struct
 from types import MappingProxyType
 from typing import Any
 
@@ -9,7 +11,7 @@
 from pg_mimic.arrays import element_oid_of, is_array_oid, parse_array_literal
 from pg_mimic.types import encode_value_binary
 
-__all__ = ('encode_binary',)
+__all__ = ('encode_binary', 'find_encoder')
 
 _HEX_PREFIX = r'\x'
 _UNITS = MappingProxyType(
@@ -17,6 +19,11 @@
 )
 
 
+def find_encoder(oid: int) -> Callable[[str], bytes]:
+    """Return what turns text of the type ``oid`` into its binary form."""
+    return _QUICK_ENCODERS.get(oid) or partial(encode_binary, oid)
+
+
 def encode_binary(oid: int, text: str) -> bytes:
     """Return the binary form of a value of the type ``oid``.
 
@@ -82,3 +89,28 @@
         pg.INTERVAL: _decode_interval,
     },
 )
+
+
+def _make_integer_encoder(form: str) -> Callable[[str], bytes]:
+    pack = Struct(form).pack
+
+    def encode(text: str) -> bytes:  # noqa: WPS430
+        return pack(int(text))
+
+    return encode
+
+
+_QUICK_ENCODERS: MappingProxyType[int, Callable[[str], bytes]] = (
+    MappingProxyType(
+        {
+            pg.INT2: _make_integer_encoder('!h'),
+            pg.INT4: _make_integer_encoder('!i'),
+            pg.INT8: _make_integer_encoder('!q'),
+            pg.TEXT: str.encode,
+            pg.VARCHAR: str.encode,
+            pg.BPCHAR: str.encode,
+            pg.NAME: str.encode,
+            pg.JSON: str.encode,
+        },
+    )
+)
