Replace a killed primary in the test of separate processes

Cause: the path was shown only up to the first failure. Change: the test kills the primary; a keyed payment through the other proxy must be acknowledged by a new primary and be read under its token.

--- a/tests/test_spine.py
+++ b/tests/test_spine.py
@@ -175,6 +175,6 @@
 
 
 @pytest.mark.timeout(150)
-@pytest.mark.parametrize('steps', [(read_elsewhere,)])
+@pytest.mark.parametrize('steps', [(read_elsewhere, replace_primary)])
 def test_payments(steps):
     anyio.run(play, *steps)
