--- a/catkincrank/feedserver.py
+++ b/catkincrank/feedserver.py
@@ -1,16 +1,23 @@
 """Publishes what a keeper knows of its groups to subscribers."""
 
+import contextlib
+from collections.abc import Callable, Container, Iterator
 from typing import final
 
 import anyio
 
-from catkincrank.dispatcher import Peer
+from catkincrank.dispatcher import Dispatcher, Peer
+from catkincrank.errors import MessageError
 from catkincrank.feed import Feed
-from catkincrank.messages import FeedRequest, FeedUpdate
+from catkincrank.instance import Observation
+from catkincrank.links import Link
+from catkincrank.messages import FeedRequest, FeedUpdate, Hello
 
-__all__ = ('Subscription',)
+__all__ = ('FeedServer', 'Subscription')
 
+_KEEPER = 'keeper'
 _REST_INTERVAL_S = 0.25
+_URGENT_INTERVAL_S = 0.004
 
 
 @final
@@ -30,6 +37,7 @@
         '_pending',
         '_peer',
         '_request',
+        '_sent',
         '_sent_at',
         '_source',
     )
@@ -41,12 +49,15 @@
         self._request = FeedRequest()
         self._echo: tuple[float, float] = (0, 0)
         self._pending: set[str] = set()
+        self._sent: dict[str, dict[str, Observation]] = {}
         self._sent_at: dict[str, float] = {}
         self._changed = anyio.Event()
 
     def replace(self, request: FeedRequest) -> None:
         """Take in what the subscriber wants from now on."""
         added = set(request.groups) - set(self._request.groups)
+        for group in added:
+            self._sent.pop(group, None)
         self._request = request
         self._echo = (request.stamp, anyio.current_time())
         self._pending.update(added)
@@ -81,9 +92,10 @@
         ]
 
     def _find_due_time(self, group: str) -> float:
+        sent_at = self._sent_at.get(group, float('-inf'))
         if group in self._request.urgent:
-            return float('-inf')
-        return self._sent_at.get(group, float('-inf')) + _REST_INTERVAL_S
+            return sent_at + _URGENT_INTERVAL_S
+        return sent_at + _REST_INTERVAL_S
 
     def _find_delay(self) -> float:
         due = min(
@@ -96,7 +108,7 @@
         self._pending.discard(group)
         self._sent_at[group] = anyio.current_time()
         stamp, received_at = self._echo
-        observations = tuple(self._feed.observations(group).values())
+        observations = self._take_news(group)
         await self._peer.link.send(
             FeedUpdate(
                 group,
@@ -106,3 +118,81 @@
                 observations,
             ),
         )
+
+    def _take_news(self, group: str) -> tuple[Observation, ...]:
+        """Return the observations that the subscriber has not got yet."""
+        sent = self._sent.setdefault(group, {})
+        news = {
+            endpoint: seen
+            for endpoint, seen in self._feed.observations(group).items()
+            if sent.get(endpoint) is not seen
+        }
+        sent.update(news)
+        return tuple(news.values())
+
+
+@final
+class FeedServer:
+    """Serves the processes that dial a keeper.
+
+    Args:
+        feed: Where the news comes from.
+        source: Incarnation of this process.
+        dispatcher: Handles what the processes send.
+        watched: Groups that this keeper watches itself; other keepers get
+            no others, so that news never goes in circles.
+        hurry: Is called with each group that a subscriber waits for.
+    """
+
+    def __init__(
+        self,
+        feed: Feed,
+        source: str,
+        dispatcher: Dispatcher,
+        watched: Container[str],
+        hurry: Callable[[str], None],
+    ) -> None:
+        self._feed = feed
+        self._source = source
+        self._dispatcher = dispatcher
+        self._watched = watched
+        self._hurry = hurry
+        self._subscriptions: dict[Link, Subscription] = {}
+        dispatcher.handle(FeedRequest)(self._subscribe)
+        feed.listen(self._publish)
+
+    async def handle_link(self, link: Link) -> None:
+        """Serve a process that has dialled this keeper."""
+        hello = await link.receive()
+        if not isinstance(hello, Hello):
+            raise MessageError('the first message is not a greeting')
+        peer = Peer(hello, link)
+        subscription = Subscription(peer, self._feed, self._source)
+        with self._hold(link, subscription):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(subscription.run)
+                await self._dispatcher.serve(peer)
+
+    @contextlib.contextmanager
+    def _hold(self, link: Link, subscription: Subscription) -> Iterator[None]:
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._subscriptions.pop, link)
+            self._subscriptions[link] = subscription
+            yield
+
+    async def _subscribe(self, peer: Peer, request: FeedRequest) -> None:
+        subscription = self._subscriptions.get(peer.link)
+        if subscription is None:
+            return
+        groups = request.groups
+        if peer.hello.role == _KEEPER:
+            groups = tuple(name for name in groups if name in self._watched)
+        subscription.replace(
+            FeedRequest(groups, request.stamp, request.urgent),
+        )
+        for group in request.urgent:
+            self._hurry(group)
+
+    def _publish(self, group: str) -> None:
+        for subscription in self._subscriptions.values():
+            subscription.notice(group)
