Settle doubts about keyed transactions by their key

A COMMIT whose answer was lost ended as 'may have run' even under a request key. Claiming the key again now tells: who holds it has committed, and a new claim proves that it has not, once a majority stores the term. Transactions whose first statement meets a sealed primary begin anew elsewhere; later ones end as 'not run'.

--- a/catkincrank/assembly.py
+++ b/catkincrank/assembly.py
@@ -5,6 +5,7 @@
 from catkincrank import acknowledgements, endpoints, filters  # noqa: F401
 from catkincrank.acknowledging import Acknowledger
 from catkincrank.catalog import Catalog
+from catkincrank.doubt import DoubtResolver
 from catkincrank.executor import Executor, Runners
 from catkincrank.leases import Leases
 from catkincrank.news import News
@@ -39,13 +40,22 @@
     reader = Reader(news, leases, retries, tally, zone)
     primaries = PrimaryFinder(news, leases, retries)
     acknowledger = Acknowledger(news)
-    writer = Writer(leases, primaries, acknowledger, retries, tally)
+    resolver = DoubtResolver(leases, primaries, acknowledger, retries)
+    writer = Writer(
+        leases,
+        primaries,
+        acknowledger,
+        resolver,
+        retries,
+        tally,
+    )
     transactions = Transactions(
         leases,
         reader,
         writer,
         primaries,
         acknowledger,
+        resolver,
         retries,
     )
     return Executor(
--- a/catkincrank/transaction.py
+++ b/catkincrank/transaction.py
@@ -3,6 +3,7 @@
 from typing import final
 
 from catkincrank.acknowledging import Acknowledger
+from catkincrank.doubt import DoubtResolver
 from catkincrank.endpoint import (
     Answer,
     Description,
@@ -20,7 +21,12 @@
 from catkincrank.session import Session
 from catkincrank.statement import Kind, Statement
 from catkincrank.verdict import Reason, RequestError, Verdict
-from catkincrank.writing import Writer, judge_failure, make_claim
+from catkincrank.writing import (
+    NOT_PRIMARY_STATES,
+    Writer,
+    judge_failure,
+    make_claim,
+)
 
 __all__ = ('Transaction', 'Transactions')
 
@@ -72,6 +78,7 @@
         writer: Creates the table of request keys.
         primaries: Leases connections for the others.
         acknowledger: Waits for acknowledgements.
+        resolver: Resolves doubts by request keys.
         retries: Retry budgets.
     """
 
@@ -81,6 +88,7 @@
         '_leases',
         '_primaries',
         '_reader',
+        '_resolver',
         '_retries',
         '_writer',
     )
@@ -92,6 +100,7 @@
         writer: Writer,
         primaries: PrimaryFinder,
         acknowledger: Acknowledger,
+        resolver: DoubtResolver,
         retries: Retries,
     ) -> None:
         self._leases = leases
@@ -99,6 +108,7 @@
         self._writer = writer
         self._primaries = primaries
         self._acknowledger = acknowledger
+        self._resolver = resolver
         self._retries = retries
         self._keys = RequestKeys(leases)
 
@@ -153,7 +163,7 @@
         if transaction.status is TransactionStatus.FAILED:
             return await self.roll_back(session)
         try:
-            answer = await self._commit(session, transaction, request)
+            answer = await self._commit_surely(session, transaction, request)
         except BaseException:
             self._end(session, is_committed=False)
             raise
@@ -192,11 +202,36 @@
                 return await self._run_once(session, transaction, request)
             except EndpointError as error:
                 failure = _explain_loss(error)
+            except StatementError as error:
+                failure = await self._judge(transaction, error)
             if transaction.statements:
                 raise failure
             attempt += 1
             await self._retries.pause(request, attempt, failure)
 
+    async def _judge(
+        self,
+        transaction: Transaction,
+        error: StatementError,
+    ) -> RequestError:
+        """Return the failure of a transaction whose primary was replaced.
+
+        Raises:
+            StatementError: The statement itself was refused.
+        """
+        is_replaced = error.sqlstate in NOT_PRIMARY_STATES
+        if transaction.access is Access.READ or not is_replaced:
+            raise error
+        await self._drop(transaction)
+        return _explain_replacement(error)
+
+    async def _drop(self, transaction: Transaction) -> None:
+        """Roll back what the transaction did on its connection."""
+        lease = transaction.lease
+        if lease is not None and lease.is_open:
+            await self._leases.roll_back(lease)
+            lease.is_open = False
+
     async def _run_once(
         self,
         session: Session,
@@ -272,6 +307,23 @@
             'the transaction with this request key has run',
         )
 
+    async def _commit_surely(
+        self,
+        session: Session,
+        transaction: Transaction,
+        request: Request,
+    ) -> Answer:
+        """Commit; settle a doubt about it by the request key."""
+        try:
+            return await self._commit(session, transaction, request)
+        except RequestError as error:
+            is_open = error.verdict is Verdict.MAY_HAVE_RUN
+            if transaction.claim is None or not is_open:
+                raise
+        mark = await self._resolver.resolve(request, transaction.claim)
+        session.advance(mark)
+        return _COMMITTED
+
     async def _commit(
         self,
         session: Session,
@@ -335,3 +387,12 @@
         'the transaction was lost with its connection: {0}'.format(error),
         retry_after_s=0,
     )
+
+
+def _explain_replacement(error: StatementError) -> RequestError:
+    return RequestError(
+        Verdict.NOT_RUN,
+        Reason.NO_PRIMARY,
+        'the endpoint takes no writes now: {0}'.format(error),
+        retry_after_s=0,
+    )
--- a/catkincrank/writing.py
+++ b/catkincrank/writing.py
@@ -4,6 +4,7 @@
 from typing import final
 
 from catkincrank.acknowledging import Acknowledger
+from catkincrank.doubt import DoubtResolver
 from catkincrank.endpoint import Answer, StatementError, TransactionStatus
 from catkincrank.errors import EndpointError
 from catkincrank.history import LogMark
@@ -19,13 +20,14 @@
 
 __all__ = (
     'Writer',
+    'NOT_PRIMARY_STATES',
     'judge_failure',
     'keep_doubt',
     'make_claim',
     'may_resubmit',
 )
 
-_NOT_PRIMARY_STATES = frozenset(('25006', '57P01', '57P02', '57P03'))
+NOT_PRIMARY_STATES = frozenset(('25006', '57P01', '57P02', '57P03'))
 _BEGIN = 'BEGIN'
 _RETRIED_REASONS = frozenset((Reason.CONNECTION_LOST, Reason.NO_PRIMARY))
 _COMPLETION_UNKNOWN = '40003'
@@ -40,6 +42,7 @@
         leases: Connections.
         primaries: Finds primaries.
         acknowledger: Waits for acknowledgements.
+        resolver: Resolves doubts by request keys.
         retries: Retry budgets.
         tally: Takes counts of answers.
     """
@@ -49,6 +52,7 @@
         '_keys',
         '_leases',
         '_primaries',
+        '_resolver',
         '_retries',
         '_tally',
     )
@@ -58,12 +62,14 @@
         leases: Leases,
         primaries: PrimaryFinder,
         acknowledger: Acknowledger,
+        resolver: DoubtResolver,
         retries: Retries,
         tally: Tally,
     ) -> None:
         self._leases = leases
         self._primaries = primaries
         self._acknowledger = acknowledger
+        self._resolver = resolver
         self._retries = retries
         self._tally = tally
         self._keys = RequestKeys(leases)
@@ -147,23 +153,11 @@
         if known is not None:
             return known
         if request.is_doubtful:
-            await self._settle_doubt(request, lease)
+            await self._resolver.settle(request, lease)
         answer = await self._leases.execute(lease, text, params)
         await self._keys.record(lease, claim, answer)
         return answer
 
-    async def _settle_doubt(self, request: Request, lease: Lease) -> None:
-        """Clear the doubt once no earlier attempt can come back.
-
-        A primary whose term no majority stores yet may be passed over by the
-        next failover, which may then bring back an older term's commit.
-        """
-        status = await lease.connection.fetch_status()
-        start = status.history.starts[-1]
-        begun = LogMark(start.term, start.position)
-        await self._acknowledger.confirm(request, begun)
-        request.is_doubtful = False
-
     async def _run_standalone(
         self,
         request: Request,
@@ -209,7 +203,7 @@
         )
     if isinstance(error, EndpointError):
         return _explain_failure(Reason.CONNECTION_LOST, error)
-    if error.sqlstate in _NOT_PRIMARY_STATES or request.is_doubtful:
+    if error.sqlstate in NOT_PRIMARY_STATES or request.is_doubtful:
         return _explain_failure(Reason.NO_PRIMARY, error)
     raise error
 
--- a/tests/memorygroup.py
+++ b/tests/memorygroup.py
@@ -103,6 +103,8 @@
             await anyio.sleep_forever()
         if fault == 'read-only':
             raise StatementError('25006', 'read only', {}, FAILED)
+        if fault == 'syntax':
+            raise StatementError('42601', 'syntax error', {}, FAILED)
         return fault
 
 
