Prune old request keys, end forgotten transactions

Rows of request keys stayed for ever and a caller that left a transaction open held one of its proxy's two connections to the primary for as long as it lived. Keys older than key_retention_s go in batches of 200, by the proxies that wrote some; a transaction idle for the service's deadline_s is rolled back and its caller told at the next statement.

--- a/catkincrank/assembly.py
+++ b/catkincrank/assembly.py
@@ -7,6 +7,7 @@
 from catkincrank.catalog import Catalog
 from catkincrank.doubt import DoubtResolver
 from catkincrank.executor import Executor, Runners
+from catkincrank.housekeeping import KeyPruner
 from catkincrank.leases import Leases
 from catkincrank.news import News
 from catkincrank.pipeline import Pipeline
@@ -68,6 +69,7 @@
             transactions,
             primaries,
             retries,
+            KeyPruner(catalog, leases, primaries),
             tally,
         ),
     )
--- a/catkincrank/executor.py
+++ b/catkincrank/executor.py
@@ -13,6 +13,7 @@
     Description,
     StatementError,
 )
+from catkincrank.housekeeping import KeyPruner
 from catkincrank.leases import Leases
 from catkincrank.localanswers import LocalAnswers
 from catkincrank.pipeline import Pipeline
@@ -47,6 +48,7 @@
         transactions: Runs callers' transactions.
         primaries: Leases connections to primaries.
         retries: Retry budgets.
+        pruner: Deletes old request keys.
         tally: Counts of outcomes.
     """
 
@@ -56,6 +58,7 @@
     transactions: Transactions
     primaries: PrimaryFinder
     retries: Retries
+    pruner: KeyPruner
     tally: Tally
 
 
@@ -141,6 +144,24 @@
         """Drop the shape of a statement that was altered since."""
         self._descriptions.pop((session.group, statement.text), None)
 
+    async def expire(self, session: Session) -> bool:
+        """Roll back a transaction that its caller has left open too long.
+
+        The caller learns of it at its next statement.
+        """
+        service = self._catalog.find(session.group)
+        transaction = session.transaction
+        if service is None or transaction is None or session.is_busy:
+            return False
+        lease = transaction.lease
+        idle_s = anyio.current_time() - session.left_at
+        if lease is None or idle_s < service.limits.deadline_s:
+            return False
+        transaction.lease = None
+        transaction.status = TransactionStatus.FAILED
+        await self.runners.leases.roll_back(lease)
+        return True
+
     async def close(self, session: Session) -> None:
         """End a session whose caller is gone."""
         with anyio.move_on_after(_CLOSE_LIMIT_S, shield=True):
@@ -161,7 +182,7 @@
                 retry_after_s=_CUT_HINT_S,
             )
         self.runners.retries.note_request(session.group)
-        return self._pipeline.prepare(
+        request = self._pipeline.prepare(
             Request(
                 session.group,
                 service,
@@ -172,6 +193,9 @@
                 weight=self._catalog.weight(session.group),
             ),
         )
+        if request.fingerprint:
+            self.runners.pruner.note_use(session.group)
+        return request
 
     async def _limit(
         self,
--- a/catkincrank/frontend.py
+++ b/catkincrank/frontend.py
@@ -8,6 +8,7 @@
 from contextlib import ExitStack
 from typing import Any, final
 
+import anyio
 from pg_mimic.errors import PgError
 from pg_mimic.server import PgServer
 from pg_mimic.stream import ConnectionClosed
@@ -18,6 +19,7 @@
 from catkincrank.errors import OptionError
 from catkincrank.executor import Executor
 from catkincrank.localanswers import REPORTED
+from catkincrank.logs import log_event
 from catkincrank.optiontext import parse_startup_options
 from catkincrank.session import Session
 from catkincrank.verdict import Reason, RequestError, Verdict
@@ -27,6 +29,7 @@
 _BUFFER_BYTES = 65536
 _SECRET_BYTES = 4
 _DRAIN_HINT_S = 0
+_EXPIRY_INTERVAL_S = 1
 _UNKNOWN_HINT_S = 1
 
 
@@ -108,6 +111,19 @@
         for connection in self.connections:
             await self.end_if_idle(connection)  # noqa: WPS476
 
+    async def expire_idle(self) -> None:
+        """Roll back transactions that callers have left open, for ever."""
+        while True:
+            await anyio.sleep(_EXPIRY_INTERVAL_S)
+            for connection in self.connections:
+                if await self._executor.expire(connection.state):  # noqa: WPS476
+                    log_event(
+                        'idle_transaction_ended',
+                        'WARNING',
+                        group=connection.state.group,
+                        caller=connection.pid,
+                    )
+
     async def end_if_idle(self, connection: CallerConnection) -> None:
         """End a connection that has nothing in flight."""
         if connection.is_idle:
--- a/catkincrank/leases.py
+++ b/catkincrank/leases.py
@@ -155,7 +155,9 @@
             await self.execute(lease, sql)  # noqa: WPS476
 
     async def roll_back(self, lease: Lease) -> None:
-        """Roll back and give the connection back."""
+        """Roll back and give the connection back, if it is still held."""
+        if not lease.is_open:
+            return
         try:
             await self.execute(lease, _ROLLBACK_SQL)
         except EndpointError:
--- a/catkincrank/proxy.py
+++ b/catkincrank/proxy.py
@@ -211,6 +211,8 @@
 
 def _start_helpers(proxy: Proxy, tasks: TaskGroup) -> None:
     tasks.start_soon(proxy.pools.run)
+    tasks.start_soon(proxy.server.expire_idle)
+    tasks.start_soon(proxy.executor.runners.pruner.run)
     if proxy.options.keepers:
         tasks.start_soon(proxy.client.run)
         tasks.start_soon(proxy.settings.run)
--- a/catkincrank/requestkeys.py
+++ b/catkincrank/requestkeys.py
@@ -17,8 +17,10 @@
 
 __all__ = (
     'CLAIM',
+    'CREATE_INDEX',
     'CREATE_TABLE',
     'FIND',
+    'PRUNE_BATCH_ROWS',
     'RECORD',
     'KeyClaim',
     'MissingTableError',
@@ -34,6 +36,10 @@
     'created_at bigint NOT NULL, '
     'PRIMARY KEY (team, key))'
 )
+CREATE_INDEX = (
+    'CREATE INDEX IF NOT EXISTS catkincrank_requests_age '
+    'ON catkincrank_requests (created_at)'
+)
 CLAIM = (
     'INSERT INTO catkincrank_requests (team, key, fingerprint, created_at) '
     'VALUES ($1, $2, $3, $4) ON CONFLICT DO NOTHING'
@@ -54,7 +60,7 @@
 _CLAIMED = 'INSERT 0 1'
 _MAX_OUTCOME_BYTES = 65536
 _UNDEFINED_TABLE = '42P01'
-_PRUNE_BATCH_ROWS = 200
+PRUNE_BATCH_ROWS = 200
 
 
 @final
@@ -151,12 +157,13 @@
         )
 
     async def create_table(self, lease: Lease) -> None:
-        """Create the table outside a transaction."""
+        """Create the table and its index outside a transaction."""
         await self._leases.execute(lease, CREATE_TABLE)
+        await self._leases.execute(lease, CREATE_INDEX)
 
     async def prune(self, lease: Lease, before: int) -> int:
         """Delete a batch of rows older than ``before``; return how many."""
-        sql = _PRUNE.format(_PRUNE_BATCH_ROWS)
+        sql = _PRUNE.format(PRUNE_BATCH_ROWS)
         answer = await self._leases.execute(lease, sql, (str(before),))
         return int(answer.command.rpartition(' ')[2])
 
--- a/catkincrank/session.py
+++ b/catkincrank/session.py
@@ -29,6 +29,7 @@
         '_scope',
         'group',
         'is_cancelled',
+        'left_at',
         'mark',
         'options',
         'settings',
@@ -42,6 +43,7 @@
         self.transaction: Transaction | None = None
         self.settings: dict[str, str] = {}
         self.is_cancelled = False
+        self.left_at: float = 0
         self._scope: anyio.CancelScope | None = None
 
     @property
@@ -116,6 +118,8 @@
     def leave(self) -> None:
         """Note that the statement ended."""
         self._scope = None
+        if self.transaction is not None:
+            self.left_at = anyio.current_time()
 
     def cancel(self) -> None:
         """Cut off the statement that runs now, if any."""
--- a/catkincrank/transaction.py
+++ b/catkincrank/transaction.py
@@ -176,7 +176,7 @@
         if transaction is not None:
             lease = transaction.lease
             self._end(session, is_committed=False)
-            if lease is not None and lease.is_open:
+            if lease is not None:
                 await self._leases.roll_back(lease)
         return _ROLLED_BACK
 
@@ -222,16 +222,10 @@
         is_replaced = error.sqlstate in NOT_PRIMARY_STATES
         if transaction.access is Access.READ or not is_replaced:
             raise error
-        await self._drop(transaction)
+        if transaction.lease is not None:
+            await self._leases.roll_back(transaction.lease)
         return _explain_replacement(error)
 
-    async def _drop(self, transaction: Transaction) -> None:
-        """Roll back what the transaction did on its connection."""
-        lease = transaction.lease
-        if lease is not None and lease.is_open:
-            await self._leases.roll_back(lease)
-            lease.is_open = False
-
     async def _run_once(
         self,
         session: Session,
--- a/tests/test_drivers.py
+++ b/tests/test_drivers.py
@@ -1,9 +1,11 @@
 import anyio
 import asyncpg
+import msgspec
 import psycopg
 import pytest
 from sqlalchemy import create_engine, text
 
+from catkincrank.settings import Team
 from catkincrank.tokens import decode_token
 from tests.deployment import GROUP, deploy
 
@@ -122,6 +124,18 @@
         assert caught.value.sqlstate == '22000'
         await connection.close()
     assert [answer[0]['due'] for answer in answers] == [8, 8, 8]
+    pruner = deployment.proxies[0].executor.runners.pruner
+    assert await pruner.prune(GROUP) == 0
+    forget_at_once(deployment)
+    assert await pruner.prune(GROUP) == 1
+
+
+def forget_at_once(deployment):
+    proxy = deployment.proxies[0]
+    service = proxy.catalog.find(GROUP)
+    limits = msgspec.structs.replace(service.limits, key_retention_s=-60)
+    changed = msgspec.structs.replace(service, limits=limits)
+    proxy.apply_team('sawari', Team({'ledger': changed}))
 
 
 async def _repeat_transaction(deployment):
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -307,6 +307,22 @@
     play(scenario)
 
 
+def test_forgotten_transaction_gives_its_connection_back():
+    async def scenario(group, executor):
+        session = open_session()
+        await submit(executor, session, 'begin', PAY)
+        await anyio.sleep(29)
+        assert not await executor.expire(session)
+        await anyio.sleep(2)
+        assert await executor.expire(session)
+        assert all(one.status is IDLE for one in group.open)
+        assert await submit(executor, session, 'add 2') == '25P02'
+        assert await submit(executor, session, 'commit') == 'ROLLBACK'
+        assert group.effects == []
+
+    play(scenario)
+
+
 async def _cancel_later(session):
     await anyio.sleep(1)
     session.cancel()
