Drain a leaving VM's proxies and show the age of their settings

The platform's notice reached nobody. Proxies ask their keeper how old its knowledge is, so that `status` has an age for each process.

--- a/catkincrank/keeperprogram.py
+++ b/catkincrank/keeperprogram.py
@@ -9,7 +9,9 @@
 from catkincrank.admin import AdminHooks, AdminServer
 from catkincrank.errors import OptionError
 from catkincrank.keeper import Keeper, KeeperOptions, PeerAddress, serve
+from catkincrank.leavingservice import LeavingService
 from catkincrank.metrics import Metrics
+from catkincrank.relayreport import expose_settings
 from catkincrank.relayservice import RelayService
 from catkincrank.shutdown import stop_at_signal
 from catkincrank.statedump import dump_process
@@ -24,7 +26,6 @@
 )
 
 _PEER_PARTS = 3
-_NEVER_LEARNT_S = -1
 
 
 @final
@@ -101,7 +102,10 @@
     async with anyio.create_task_group() as tasks:
         service = RelayService(keeper, flags.teams, tasks)
         tasks.start_soon(service.run)
-        server = AdminServer(_make_hooks(keeper, service), _measure(service))
+        tasks.start_soon(LeavingService(keeper, service).run)
+        metrics = Metrics()
+        expose_settings(metrics, service.report)
+        server = AdminServer(_make_hooks(keeper, service), metrics)
         await server.serve(flags.admin_host, flags.admin_port)
 
 
@@ -114,22 +118,3 @@
         )
 
     return AdminHooks(dump, lambda: service.report().list_obstacles())
-
-
-def _measure(service: RelayService) -> Metrics:
-    metrics = Metrics()
-    metrics.watch(
-        'settings_age_seconds',
-        'Age of what is known of settings; -1 when nothing was learnt.',
-        lambda: _number(service.report().age_s),
-    )
-    metrics.watch(
-        'settings_unknown_teams',
-        'Served teams whose newest settings are not here.',
-        lambda: len(service.report().unknown),
-    )
-    return metrics
-
-
-def _number(age_s: float | None) -> float:
-    return _NEVER_LEARNT_S if age_s is None else age_s
--- /dev/null
+++ b/catkincrank/leavingclient.py
@@ -0,0 +1,29 @@
+"""Drains a proxy when its VM's keeper passes on a notice."""
+
+from catkincrank.dispatcher import Peer
+from catkincrank.journal import Event
+from catkincrank.logs import Recorder
+from catkincrank.noticemessages import DrainNotice
+from catkincrank.proxy import Proxy
+
+__all__ = ('obey_notices',)
+
+
+async def obey_notices(proxy: Proxy) -> None:
+    """Have ``proxy`` drain at a notice of the keeper on its own VM.
+
+    A notice of another VM's keeper, which a proxy follows while its own
+    keeper is away, is not meant for it.
+    """
+    dispatcher = proxy.client.dispatcher
+    recorder = Recorder(proxy.journal)
+
+    @dispatcher.handle(DrainNotice)
+    async def obey(_peer: Peer, notice: DrainNotice) -> None:  # noqa: WPS430
+        own_keeper = proxy.options.keepers[0].name
+        if notice.machine != own_keeper or proxy.server.is_draining:
+            return
+        recorder.record(
+            Event('machine_leaving', notice.machine, notice.cause, 'draining'),
+        )
+        proxy.request_drain()
--- a/catkincrank/messages.py
+++ b/catkincrank/messages.py
@@ -12,6 +12,7 @@
     messages,
 )
 from catkincrank.instance import Observation
+from catkincrank.noticemessages import DrainNotice
 from catkincrank.settingsmessages import (
     SettingsDelta,
     SettingsDigest,
@@ -24,6 +25,7 @@
 
 __all__ = (
     'SCHEMA_VERSION',
+    'DrainNotice',
     'FeedRequest',
     'FeedUpdate',
     'Heartbeat',
--- /dev/null
+++ b/catkincrank/noticemessages.py
@@ -0,0 +1,23 @@
+"""Messages by which a keeper tells the proxies of its VM what is coming."""
+
+from dataclasses import dataclass
+from typing import final
+
+from catkincrank.envelope import file_message
+
+__all__ = ('DrainNotice',)
+
+
+@file_message('drainNotice')
+@final
+@dataclass(frozen=True, slots=True)
+class DrainNotice:
+    """Tells the proxies of a VM to finish and stop.
+
+    Attributes:
+        machine: Name of the VM.
+        cause: Why.
+    """
+
+    machine: str
+    cause: str
--- a/catkincrank/proxyprogram.py
+++ b/catkincrank/proxyprogram.py
@@ -8,9 +8,11 @@
 from catkincrank.admin import AdminHooks, AdminServer
 from catkincrank.errors import OptionError
 from catkincrank.feedclient import KeeperAddress
+from catkincrank.leavingclient import obey_notices
 from catkincrank.metrics import Metrics
 from catkincrank.proxy import Proxy, ProxyOptions, serve
 from catkincrank.proxystate import describe_proxy
+from catkincrank.relayreport import expose_settings
 from catkincrank.shutdown import stop_at_signal
 
 __all__ = (
@@ -80,7 +82,11 @@
             keepers=tuple(keeper.address for keeper in flags.keepers),
             environment=os.environ,
             drain_limit_s=flags.drain_limit_s,
-            extensions=(drain_at_signal, partial(serve_admin, flags)),
+            extensions=(
+                drain_at_signal,
+                obey_notices,
+                partial(serve_admin, flags),
+            ),
         ),
     )
 
@@ -94,6 +100,7 @@
     """Serve the admin port of a proxy."""
     metrics = Metrics()
     proxy.tally.expose(metrics)
+    expose_settings(metrics, proxy.settings.report)
     hooks = AdminHooks(
         dump_state=partial(_dump_state, proxy),
         list_obstacles=proxy.list_obstacles,
--- a/catkincrank/proxystate.py
+++ b/catkincrank/proxystate.py
@@ -7,6 +7,7 @@
 
 from catkincrank.journal import Event
 from catkincrank.pool import PoolState
+from catkincrank.relayreport import SettingsReport
 
 if TYPE_CHECKING:
     from catkincrank.proxy import Proxy
@@ -102,7 +103,9 @@
         is_draining: Whether it refuses new callers.
         keeper: Keeper that it is linked to; empty when none.
         keeper_silence_s: Time since a keeper was heard, in seconds.
-        settings: Version in force of each team.
+        role: Role of the process.
+        obstacles: Why callers should go elsewhere.
+        settings: Versions in force and the age of that knowledge.
         groups: What it believes of the groups.
         pools: Its connections to endpoints.
         callers: Its callers, the first ones.
@@ -119,7 +122,9 @@
     is_draining: bool
     keeper: str
     keeper_silence_s: float
-    settings: dict[str, int]
+    role: str
+    obstacles: tuple[str, ...]
+    settings: SettingsReport
     groups: tuple[GroupState, ...]
     pools: tuple[PoolState, ...]
     callers: tuple[CallerState, ...]
@@ -146,7 +151,9 @@
         proxy.server.is_draining,
         proxy.client.connected_to,
         proxy.client.silence_s(now),
-        proxy.settings.book.versions(),
+        'proxy',
+        tuple(proxy.list_obstacles()),
+        proxy.settings.report(),
         tuple(
             _describe_group(proxy, group, now)
             for group in proxy.catalog.groups()
--- a/catkincrank/relayreport.py
+++ b/catkincrank/relayreport.py
@@ -1,11 +1,15 @@
 """What a process says of its settings in its state dump."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import final
 
+from catkincrank.metrics import Metrics
 from catkincrank.subtree import SettingsBook
 
-__all__ = ('SettingsReport', 'report_book')
+__all__ = ('SettingsReport', 'expose_settings', 'report_book')
+
+_NEVER_LEARNT_S = -1
 
 
 @final
@@ -59,3 +63,24 @@
         sequence,
         readers,
     )
+
+
+def expose_settings(
+    metrics: Metrics,
+    report: Callable[[], SettingsReport],
+) -> None:
+    """Show as metrics how a process stands with its settings."""
+    metrics.watch(
+        'settings_age_seconds',
+        'Age of what is known of settings; -1 when nothing was learnt.',
+        lambda: _number(report().age_s),
+    )
+    metrics.watch(
+        'settings_unknown_teams',
+        'Served teams whose newest settings are not here.',
+        lambda: len(report().unknown),
+    )
+
+
+def _number(age_s: float | None) -> float:
+    return _NEVER_LEARNT_S if age_s is None else age_s
--- a/catkincrank/relayservice.py
+++ b/catkincrank/relayservice.py
@@ -94,6 +94,11 @@
             self._act(self.relay.tick(anyio.current_time()))
             await anyio.sleep(_TICK_S)
 
+    def publish(self, message: Any) -> None:
+        """Send ``message`` to every proxy that follows this keeper."""
+        for link in tuple(self._subscribers):
+            self._tasks.start_soon(self._publish, link, message)
+
     def _register(self) -> None:
         handle = self._keeper.dispatcher.handle
         handle(SettingsRequest)(self._on_request)
@@ -192,13 +197,13 @@
             row.body,
             row.change_id,
         )
-        for link, teams in self._subscribers.items():
+        for link, teams in tuple(self._subscribers.items()):
             if action.team in teams:
                 self._tasks.start_soon(self._publish, link, update)
 
-    async def _publish(self, link: Link, update: SettingsUpdate) -> None:
+    async def _publish(self, link: Link, message: Any) -> None:
         try:
-            await link.send(update)
+            await link.send(message)
         except LinkClosedError:
             self._subscribers.pop(link, None)
 
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -19,6 +19,7 @@
     settingsDigest @9 :SettingsDigest;
     settingsDelta @10 :SettingsDelta;
     settingsPush @11 :SettingsPush;
+    drainNotice @13 :DrainNotice;
   }
 }
 
@@ -152,3 +153,8 @@
   changeId @2 :Text;
   crossesZones @3 :Bool;
 }
+
+struct DrainNotice {
+  machine @0 :Text;
+  cause @1 :Text;
+}
--- a/catkincrank/settingsclient.py
+++ b/catkincrank/settingsclient.py
@@ -9,8 +9,11 @@
 from catkincrank.feedclient import FeedClient
 from catkincrank.links import Link, LinkClosedError
 from catkincrank.logs import log_event
+from catkincrank.relayreport import SettingsReport, report_book
 from catkincrank.settings import Team
 from catkincrank.settingsmessages import (
+    SettingsDelta,
+    SettingsDigest,
     SettingsRequest,
     SettingsUpdate,
     TeamVersion,
@@ -51,6 +54,7 @@
         self._changed = anyio.Event()
         client.on_open(self._open)
         client.dispatcher.handle(SettingsUpdate)(self._learn)
+        client.dispatcher.handle(SettingsDelta)(self._confirm)
 
     def want(self, team: str) -> bool:
         """Ask for a team's subtree from now on; false when too many are."""
@@ -59,6 +63,13 @@
         self._wanted.add(team)
         return True
 
+    def report(self) -> SettingsReport:
+        """Return what is in force and how old the knowledge is."""
+        unknown = sorted(
+            team for team in self._wanted if self.book.team(team) is None
+        )
+        return report_book(self.book, anyio.current_time(), unknown)
+
     async def run(self) -> None:
         """Ask for newer versions until cancelled."""
         while True:
@@ -90,9 +101,14 @@
         )
         try:
             await self._link.send(SettingsRequest(known))
+            await self._link.send(SettingsDigest(0, anyio.current_time()))
         except LinkClosedError:
             self._link = None
 
+    async def _confirm(self, _peer: Peer, delta: SettingsDelta) -> None:
+        if 0 <= delta.age_s and delta.stamp <= anyio.current_time():
+            self.book.confirm(delta.stamp - delta.age_s)
+
     async def _learn(self, _peer: Peer, update: SettingsUpdate) -> None:
         row = Row(
             settings_key(update.team),
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -45,6 +45,7 @@
         silent_s=2.5,
         watches=True,
     ),
+    'drainNotice': messages.DrainNotice('vm1', 'listed as leaving'),
     'settingsDigest': messages.SettingsDigest(7, 1.5),
     'settingsDelta': messages.SettingsDelta(
         9,
--- a/tests/test_relayservice.py
+++ b/tests/test_relayservice.py
@@ -9,11 +9,18 @@
 from catkincrank.feedclient import KeeperAddress
 from catkincrank.keeper import serve
 from catkincrank.keeperprogram import KeeperFlags, PeerFlag, make_options
+from catkincrank.leavingclient import obey_notices
 from catkincrank.links import dial
-from catkincrank.messages import Hello, SettingsRequest, TeamVersion
+from catkincrank.messages import (
+    DrainNotice,
+    Hello,
+    SettingsRequest,
+    TeamVersion,
+)
+from catkincrank.proxy import Proxy, ProxyOptions
 from catkincrank.settingspush import push_change
 from catkincrank.standins.platform import StandinPlatform
-from catkincrank.store import Row
+from catkincrank.store import Row, VirtualMachine
 from catkincrank.storeaddress import open_store
 
 HOST = '127.0.0.1'
@@ -137,6 +144,54 @@
     assert body == b'{"weight":3}'
 
 
+async def mark_as_leaving():
+    port, admin = find_ports(2)
+    platform = StandinPlatform()
+    with anyio.fail_after(LIMIT_S):
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(platform.serve)
+            flags = make_flags(platform.address, ('k',), (port,), (admin,))
+            await tasks.start(serve, make_options(flags[0]))
+            link = await subscribe(port, tasks)
+            platform.table.machines = [
+                VirtualMachine('k', 'z', HOST, is_leaving=True)
+            ]
+            notice = await await_notice(link)
+            tasks.cancel_scope.cancel()
+    return notice
+
+
+async def await_notice(link):
+    while True:
+        message = await link.receive()
+        if isinstance(message, DrainNotice):
+            return message
+
+
+def test_keeper_passes_the_platforms_notice_on():
+    assert anyio.run(mark_as_leaving).machine == 'k'
+
+
+async def obey(machine):
+    keepers = (KeeperAddress('k', HOST, 1), KeeperAddress('other', HOST, 2))
+    async with anyio.create_task_group() as tasks:
+        proxy = Proxy(ProxyOptions('p', 'z', keepers=keepers), tasks)
+        await obey_notices(proxy)
+        await proxy.client.dispatcher.dispatch(
+            None, DrainNotice(machine, 'test')
+        )
+        await anyio.lowlevel.checkpoint()
+        tasks.cancel_scope.cancel()
+    return [event.name for event in proxy.journal.list_events()]
+
+
+@pytest.mark.parametrize(
+    ('machine', 'events'), [('k', ['machine_leaving']), ('other', [])]
+)
+def test_only_the_own_keepers_notice_drains(machine, events):
+    assert anyio.run(obey, machine) == events
+
+
 @pytest.mark.parametrize('text', ['k', 'k/z', 'k/z/h', 'k/z/h:x'])
 def test_bad_peer_is_refused(text):
     with pytest.raises(OptionError, match='NAME/ZONE/HOST:PORT'):
