Cut the traffic between keepers and record outcomes later

Cause: links between keepers sent heartbeats twice a second in both ways, and a restart of more than a minute moved duties; an outcome was not recorded when the store was out. The question about suspicion is gone: reports come unasked.

--- a/catkincrank/feedclient.py
+++ b/catkincrank/feedclient.py
@@ -20,6 +20,7 @@
 __all__ = ('FeedClient', 'KeeperAddress')
 
 _DIAL_TIMEOUT_S = 0.5
+_SILENCE_LIMIT_S = 2.0
 _STAMP_INTERVAL_S = 0.25
 _RETRY_DELAY_S = 0.2
 _RETURN_INTERVAL_S = 5.0
@@ -124,6 +125,7 @@
                 keeper.port,
                 _DIAL_TIMEOUT_S,
                 self._hello.name,
+                _SILENCE_LIMIT_S,
             )
         except LinkClosedError:
             return None
--- a/catkincrank/feedserver.py
+++ b/catkincrank/feedserver.py
@@ -17,6 +17,7 @@
 
 _KEEPER = 'keeper'
 _REST_INTERVAL_S = 0.25
+_HEARTBEAT_INTERVAL_S = 0.5
 _URGENT_INTERVAL_S = 0.004
 
 
@@ -184,6 +185,7 @@
         subscription = self._subscriptions.get(peer.link)
         if subscription is None:
             return
+        peer.link.heartbeat_interval_s = _HEARTBEAT_INTERVAL_S
         groups = request.groups
         if peer.hello.role == _KEEPER:
             groups = tuple(name for name in groups if name in self._watched)
--- a/catkincrank/fleet.py
+++ b/catkincrank/fleet.py
@@ -25,7 +25,7 @@
 __all__ = ('Fleet',)
 
 _TICK_S = 0.5
-_PROBE_INTERVAL_S = 1.0
+_PROBE_INTERVAL_S = 2.0
 _LIST_INTERVAL_S = 30.0
 _SAMPLES = 1
 _QUIET = frozenset((PeerState.LISTED, PeerState.ALIVE))
@@ -149,7 +149,8 @@
             anyio.current_time(),
             is_leaving=probe.is_leaving,
         )
-        if probe.number:
+        is_answer = not probe.number
+        if not is_answer and probe.name not in self.duties.list_partners():
             await peer.link.send(self._make_probe(0))
 
     async def _follow_list(self) -> None:
--- a/catkincrank/keeper.py
+++ b/catkincrank/keeper.py
@@ -19,7 +19,7 @@
 from catkincrank.links import Link, listen
 from catkincrank.logs import Recorder
 from catkincrank.membership import PeerAddress
-from catkincrank.messages import Hello, SuspicionReply
+from catkincrank.messages import Hello, SuspicionReport
 from catkincrank.peerlinks import PeerLinks
 from catkincrank.settings import Service, Team
 from catkincrank.supervisor import Supervisor
@@ -140,7 +140,7 @@
         ).info('an instance did not answer')
 
     def _register(self) -> None:
-        self.dispatcher.handle(SuspicionReply)(self._on_report)
+        self.dispatcher.handle(SuspicionReport)(self._on_report)
         self.fleet.register(self.dispatcher)
         self.fleet.set_peers(self.options.peers)
 
@@ -148,9 +148,9 @@
         self.watches.hurry(group)
         self._upstreams.hurry(group)
 
-    async def _on_report(self, _peer: Peer, reply: SuspicionReply) -> None:
-        self.supervisor.hear_report(reply)
-        self.watches.hurry(reply.group)
+    async def _on_report(self, _peer: Peer, report: SuspicionReport) -> None:
+        self.supervisor.hear_report(report)
+        self.watches.hurry(report.group)
 
     def _apply_duties(self) -> None:
         """Watch what this keeper has duty for, subscribe to the rest."""
--- a/catkincrank/links.py
+++ b/catkincrank/links.py
@@ -26,9 +26,10 @@
 
 _MAX_FRAME_BYTES = 1024 * 1024
 _HEADER = struct.Struct('!I')
-_HEARTBEAT_INTERVAL_S = 0.5
-_SILENCE_LIMIT_S = 2.0
+_HEARTBEAT_INTERVAL_S = 2.0
+_SILENCE_LIMIT_S = 6.0
 _SEND_TIMEOUT_S = 2.0
+_STEP_S = 0.5
 _SEND_FAILURES = (
     OSError,
     TimeoutError,
@@ -51,6 +52,11 @@
         stream: The stream.
         name: Name of this end, for its heartbeats.
         silence_limit_s: How long the other end may be silent, in seconds.
+
+    Attributes:
+        heartbeat_interval_s: How long this end may be silent, in seconds.
+        received_bytes: Bytes that have arrived.
+        sent_bytes: Bytes that were sent.
     """
 
     __slots__ = (
@@ -61,6 +67,7 @@
         '_sequence',
         '_silence_limit_s',
         '_stream',
+        'heartbeat_interval_s',
         'received_bytes',
         'sent_bytes',
     )
@@ -78,6 +85,7 @@
         self._silence_limit_s = silence_limit_s
         self._sequence = 0
         self._sent_at: float = 0
+        self.heartbeat_interval_s = _HEARTBEAT_INTERVAL_S
         self.sent_bytes = 0
         self.received_bytes = 0
 
@@ -114,8 +122,10 @@
         """
         while True:
             idle_s = anyio.current_time() - self._sent_at
-            if idle_s < _HEARTBEAT_INTERVAL_S:
-                await anyio.sleep(_HEARTBEAT_INTERVAL_S - idle_s)
+            if idle_s < self.heartbeat_interval_s:
+                await anyio.sleep(
+                    min(_STEP_S, self.heartbeat_interval_s - idle_s),
+                )
                 continue
             self._sequence += 1
             await self.send(Heartbeat(self._name, self._sequence))
@@ -170,6 +180,7 @@
     port: int,
     deadline_s: float,
     name: str = '',
+    silence_limit_s: float = _SILENCE_LIMIT_S,
 ) -> Link:
     """Return a link to ``host`` and ``port`` within ``deadline_s`` seconds.
 
@@ -178,7 +189,8 @@
     """
     try:
         with anyio.fail_after(deadline_s):
-            return Link(await anyio.connect_tcp(host, port), name)
+            stream = await anyio.connect_tcp(host, port)
+            return Link(stream, name, silence_limit_s)
     except OSError as error:
         raise LinkClosedError(repr(error)) from None
 
--- a/catkincrank/membership.py
+++ b/catkincrank/membership.py
@@ -14,7 +14,7 @@
 
 __all__ = ('Belief', 'Membership', 'PeerAddress', 'PeerState')
 
-_SILENCE_S = 3.0
+_SILENCE_S = 6.0
 _FORGET_S = 120.0
 _PAUSE_LIMIT_S = 0.8
 _NEVER = float('-inf')
--- a/catkincrank/messages.py
+++ b/catkincrank/messages.py
@@ -36,8 +36,7 @@
     'SettingsPush',
     'SettingsRequest',
     'SettingsUpdate',
-    'SuspicionQuery',
-    'SuspicionReply',
+    'SuspicionReport',
     'TeamVersion',
     'decode_message',
     'encode_message',
@@ -140,45 +139,24 @@
     observations: tuple[Observation, ...] = ()
 
 
-@file_message('suspicionQuery')
+@file_message('suspicionReport')
 @final
 @dataclass(frozen=True, slots=True)
-class SuspicionQuery:
-    """Asks another keeper whether an instance answers it.
+class SuspicionReport:
+    """What a keeper thinks of an instance, told to those that share its duty.
 
     Attributes:
         group: Name of the group.
         endpoint: The instance.
-        number: Comes back in the reply.
-    """
-
-    group: str
-    endpoint: str
-    number: int
-
-
-@file_message('suspicionReply')
-@final
-@dataclass(frozen=True, slots=True)
-class SuspicionReply:
-    """What a keeper thinks of an instance.
-
-    Attributes:
-        group: Name of the group.
-        endpoint: The instance.
-        number: Number of the query.
-        keeper: Name of the keeper that answers.
+        keeper: Name of the keeper.
         zone: Its availability zone.
         is_suspect: Whether it suspects the instance.
         silent_s: Time since it last heard from the instance, in seconds.
-        watches: Whether it watches the instance at all.
     """
 
     group: str
     endpoint: str
-    number: int
     keeper: str
     zone: str
     is_suspect: bool
     silent_s: float
-    watches: bool
--- a/catkincrank/peerlinks.py
+++ b/catkincrank/peerlinks.py
@@ -20,7 +20,7 @@
 __all__ = ('PeerLinks',)
 
 _DIAL_TIMEOUT_S = 1.0
-_IDLE_LIMIT_S = 1.5
+_IDLE_LIMIT_S = 5.0
 _QUEUE_LENGTH = 64
 
 
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -11,9 +11,8 @@
     heartbeat @2 :Heartbeat;
     feedRequest @3 :FeedRequest;
     feedUpdate @4 :FeedUpdate;
-    suspicionQuery @5 :SuspicionQuery;
-    suspicionReply @6 :SuspicionReply;
-    probe @12 :Probe;
+    suspicionReport @5 :SuspicionReport;
+    probe @6 :Probe;
     settingsRequest @7 :SettingsRequest;
     settingsUpdate @8 :SettingsUpdate;
     settingsDigest @9 :SettingsDigest;
@@ -93,21 +92,13 @@
   observations @4 :List(Observation);
 }
 
-struct SuspicionQuery {
+struct SuspicionReport {
   group @0 :Text;
   endpoint @1 :Text;
-  number @2 :UInt64;
-}
-
-struct SuspicionReply {
-  group @0 :Text;
-  endpoint @1 :Text;
-  number @2 :UInt64;
-  keeper @3 :Text;
-  zone @4 :Text;
-  isSuspect @5 :Bool;
-  silentS @6 :Float64;
-  watches @7 :Bool;
+  keeper @2 :Text;
+  zone @3 :Text;
+  isSuspect @4 :Bool;
+  silentS @5 :Float64;
 }
 
 struct TeamVersion {
--- a/catkincrank/supervision.py
+++ b/catkincrank/supervision.py
@@ -13,7 +13,6 @@
 from catkincrank.failover import Failover, FailoverPlan, Phase
 from catkincrank.failoveractions import (
     Action,
-    Claim,
     ClaimRecord,
     Done,
     Failed,
@@ -21,6 +20,7 @@
     ReadClaim,
 )
 from catkincrank.instance import InstanceStatus
+from catkincrank.outcomes import Outcomes
 from catkincrank.quorum import count_seal_quorum
 from catkincrank.repair import Repair
 from catkincrank.sightings import Sightings
@@ -96,6 +96,7 @@
         self._chance = chance
         self._guard = ClockGuard(now)
         self._repair = Repair(options.rank)
+        self._outcomes = Outcomes()
         self._highest_term = 0
         self._idle_until = now
         self._has_waited = False
@@ -125,7 +126,7 @@
         if paused_s:
             return self._forget_evidence(paused_s, now)
         if self.failover is None:
-            return []
+            return self._outcomes.handle(event)
         return self._follow_up(self.failover.handle(event, now), now)
 
     def tick(self, now: float) -> list[Action]:
@@ -135,7 +136,7 @@
             return self._forget_evidence(paused_s, now)
         if self.failover is not None:
             return self._follow_up(self.failover.tick(now), now)
-        actions = self._update_trouble(now)
+        actions = [*self._update_trouble(now), *self._outcomes.tick(now)]
         if self.trouble is None:
             return actions + self._repair.tick(
                 self.sightings.statuses,
@@ -275,7 +276,7 @@
                 failover,
                 failover.promoted,
             )
-            return [*actions, Claim(record)]
+            return [*actions, *self._outcomes.add(record, now)]
         return actions
 
 
--- a/catkincrank/supervisor.py
+++ b/catkincrank/supervisor.py
@@ -29,7 +29,7 @@
 from catkincrank.instance import InstanceStatus, Observation
 from catkincrank.journal import Event
 from catkincrank.logs import Recorder
-from catkincrank.messages import SuspicionReply
+from catkincrank.messages import SuspicionReport
 from catkincrank.settings import Service
 from catkincrank.supervision import Report, Supervision, SupervisionOptions
 from catkincrank.watch import Watch
@@ -63,7 +63,7 @@
         claims: Claims,
         recorder: Recorder,
         tasks: TaskGroup,
-        tell: Callable[[str, SuspicionReply], None],
+        tell: Callable[[str, SuspicionReport], None],
         *,
         keeper: str,
         zone: str,
@@ -116,17 +116,17 @@
         if supervision is not None:
             supervision.sightings.fail(endpoint, reason)
 
-    def hear_report(self, reply: SuspicionReply) -> None:
+    def hear_report(self, told: SuspicionReport) -> None:
         """Take in another keeper's suspicion."""
-        supervision = self.supervisions.get(reply.group)
-        if supervision is not None and reply.is_suspect:
+        supervision = self.supervisions.get(told.group)
+        if supervision is not None and told.is_suspect:
             report = PeerReport(
-                reply.keeper,
-                reply.zone,
-                reply.silent_s,
+                told.keeper,
+                told.zone,
+                told.silent_s,
                 anyio.current_time(),
             )
-            supervision.hear_report(reply.endpoint, report)
+            supervision.hear_report(told.endpoint, report)
 
     async def run(self) -> None:
         """Let time pass for every group until cancelled."""
@@ -207,15 +207,13 @@
         options = supervision.options
         self._tell(
             group,
-            SuspicionReply(
+            SuspicionReport(
                 group,
                 report.endpoint,
-                0,
                 options.keeper,
                 options.zone,
                 is_suspect=True,
                 silent_s=report.silent_s,
-                watches=True,
             ),
         )
 
