Spread settings inside a trial and change them while it runs

Cause: trials gave processes their settings at the start, so the promises on settings and on leaving endpoints were not exercised. Change: the deployment writes settings through the store and its keepers spread them; the script can change them and mark an endpoint as leaving; proxies' versions are recorded.

--- a/catkincrank/load/profile.py
+++ b/catkincrank/load/profile.py
@@ -107,6 +107,10 @@
             '{0}/{1}'.format(self.team, service) for service in self.services
         ]
 
+    def zone_of(self, number: int) -> str:
+        """Return the zone of the VM or instance with a number."""
+        return self.zones[number % len(self.zones)]
+
 
 def list_profiles() -> list[str]:
     """Return the names of the profiles that come with the package."""
--- a/catkincrank/load/trial.py
+++ b/catkincrank/load/trial.py
@@ -21,10 +21,12 @@
 from catkincrank.load.outcome import Tally
 from catkincrank.load.profile import FaultStep, Profile
 from catkincrank.load.runner import LoadRun, run_load
+from catkincrank.load.settingswatch import watch_settings
 from catkincrank.load.summary import LoadFigures, find_gap, summarize
 from catkincrank.records import RecordedHistory
 from catkincrank.standins.deployment import Deployment
 from catkincrank.standins.faults import FaultScript
+from catkincrank.subtree import settings_key
 
 __all__ = ('Trial', 'TrialResult', 'run_trial')
 
@@ -122,6 +124,11 @@
         await create_tables(deployment)
         trial.report('tables are there, load begins')
         script = FaultScript(deployment, trial.history)
+        first = deployment.platform.table.read(
+            settings_key(trial.profile.team),
+        )
+        if first is not None:
+            script.note_accepted(first)
         seconds = await _run_load(trial, deployment, script)
         await anyio.sleep(_SETTLE_S)
         record_effects(trial.history, deployment.groups.values())
@@ -174,6 +181,7 @@
     started_at = anyio.current_time()
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(script.run, started_at)
+        tasks.start_soon(watch_settings, deployment, trial.history)
         tasks.start_soon(_show_progress, trial, script, started_at)
         trial.started_at = await run_load(run, trial.tally)
         tasks.cancel_scope.cancel()
--- a/catkincrank/standins/deployment.py
+++ b/catkincrank/standins/deployment.py
@@ -8,8 +8,9 @@
 import socket
 from collections.abc import Callable
 from contextlib import AsyncExitStack
+from functools import partial
 from types import TracebackType
-from typing import Self, final
+from typing import Any, Self, final
 
 import anyio
 from anyio.abc import TaskGroup
@@ -19,23 +20,21 @@
 from catkincrank import proxy as proxies
 from catkincrank.feedclient import KeeperAddress
 from catkincrank.keeper import Keeper, KeeperOptions, PeerAddress
+from catkincrank.keeperprogram import KeeperFlags, extend_keeper
 from catkincrank.load.connection import Target
 from catkincrank.load.profile import Profile
 from catkincrank.proxy import Proxy, ProxyOptions
-from catkincrank.settings import Endpoint, Limits, Service, Team, encode_team
-from catkincrank.standins.group import StandinGroup
-from catkincrank.standins.instance import InstanceOptions
-from catkincrank.standins.observer import InstanceObserver
+from catkincrank.settings import Team
+from catkincrank.standins.groupset import GroupSet, Observe
+from catkincrank.standins.operator import write_team
 from catkincrank.standins.platform import StandinPlatform
 from catkincrank.standins.wire import Wire
-from catkincrank.store import VirtualMachine
+from catkincrank.store import Row, VirtualMachine
 from catkincrank.stores.http import HttpStore
 
 __all__ = ('Deployment',)
 
 _HOST = '127.0.0.1'
-_CHANGE_ID = 'initial'
-_ENDPOINT_NAMES = ('a', 'b', 'c')
 
 
 @final
@@ -48,6 +47,7 @@
 
     Attributes:
         crashes: Processes that ended by an error, and the error.
+        find_wires: Returns the wires from other zones to an endpoint.
         groups: Stand-in groups by ``team/service``.
         keepers: Keepers by name.
         platform: The platform.
@@ -58,17 +58,17 @@
     def __init__(
         self,
         profile: Profile,
-        observe: Callable[[str], InstanceObserver] | None = None,
+        observe: Observe | None = None,
     ) -> None:
         self.profile = profile
         self.platform = StandinPlatform()
-        self.groups: dict[str, StandinGroup] = {}
+        self._groups = GroupSet(profile, observe)
+        self.groups = self._groups.groups
         self.keepers: dict[str, Keeper] = {}
         self.proxies: dict[str, Proxy] = {}
         self.team = Team()
         self.crashes: list[str] = []
-        self.wires: dict[tuple[str, str, str], Wire] = {}
-        self._observe = observe
+        self.find_wires = self._groups.find_wires
         self._caller_wires: dict[str, Wire] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
         self._stack = AsyncExitStack()
@@ -88,7 +88,7 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> bool | None:
-        for wire in (*self.wires.values(), *self._caller_wires.values()):
+        for wire in self._caller_wires.values():
             wire.stop()
         return await self._stack.__aexit__(kind, error, traceback)
 
@@ -100,105 +100,34 @@
             if not proxy.server.is_draining
         ]
 
-    def zone_of(self, number: int) -> str:
-        """Return the zone of the VM with a number."""
-        zones = self.profile.zones
-        return zones[number % len(zones)]
-
-    def find_wires(self, group: str, endpoint: str) -> list[Wire]:
-        """Return the wires from other zones to an endpoint."""
-        return [
-            wire
-            for (name, target, _), wire in self.wires.items()
-            if (name, target) == (group, endpoint)
-        ]
-
     def kill_process(self, name: str) -> None:
         """End a proxy or keeper without a drain."""
         self._scopes.pop(name).cancel()
         self.proxies.pop(name, None)
         self.keepers.pop(name, None)
 
+    async def change_settings(self, team: Team) -> Row:
+        """Write a new subtree through the store, as an operator does."""
+        row = await write_team(self.platform, self.profile.team, team)
+        self.team = team
+        return row
+
     async def _start(self) -> None:
         tasks = await self._stack.enter_async_context(
             anyio.create_task_group(),
         )
         self._stack.callback(tasks.cancel_scope.cancel)
         await tasks.start(self.platform.serve)
-        for group in self.profile.groups():
-            await self._start_group(group)  # noqa: WPS476
-        self.team = self._describe_team()
-        self.platform.table.write(
-            'settings/{0}'.format(self.profile.team),
-            encode_team(self.team),
-            0,
-            _CHANGE_ID,
-        )
+        await self._groups.start(self._stack)
+        await self.change_settings(self._groups.describe_team())
         await self._start_keepers(tasks)
         await self._start_proxies(tasks)
 
-    async def _start_group(self, name: str) -> None:
-        profile = self.profile
-        observer = InstanceObserver()
-        if self._observe is not None:
-            observer = self._observe(name)
-        group = StandinGroup(
-            _ENDPOINT_NAMES,
-            InstanceOptions(
-                profile.slots,
-                profile.connections,
-                profile.connect_s,
-                profile.statement_s,
-                observer=observer,
-            ),
-        )
-        self.groups[name] = await self._stack.enter_async_context(group)
-        for endpoint, address in group.addresses().items():
-            group.set_lag(endpoint, profile.ship_s, profile.apply_s)
-            for zone in profile.zones:
-                wire = Wire(_HOST, address.port, profile.zone_delay_s)
-                await wire.start()  # noqa: WPS476
-                self.wires[name, endpoint, zone] = wire
-
-    def _describe_team(self) -> Team:
-        services = {
-            name.partition('/')[2]: Service(
-                self._describe_endpoints(name),
-                limits=Limits(
-                    self.profile.connections,
-                    slots=self.profile.slots,
-                    proxies=self.profile.proxies,
-                ),
-            )
-            for name in self.groups
-        }
-        return Team(services)
-
-    def _describe_endpoints(self, group: str) -> tuple[Endpoint, ...]:
-        addresses = self.groups[group].addresses()
-        return tuple(
-            Endpoint(
-                name,
-                self.zone_of(number),
-                _HOST,
-                address.port,
-                self._list_ports(group, name, self.zone_of(number)),
-            )
-            for number, (name, address) in enumerate(addresses.items())
-        )
-
-    def _list_ports(self, group: str, name: str, own: str) -> dict[str, int]:
-        return {
-            zone: self.wires[group, name, zone].port
-            for zone in self.profile.zones
-            if zone != own
-        }
-
     async def _start_keepers(self, tasks: TaskGroup) -> None:
         peers = tuple(
             PeerAddress(
                 'vm-{0}'.format(number),
-                self.zone_of(number),
+                self.profile.zone_of(number),
                 _HOST,
                 _pick_port(),
             )
@@ -214,8 +143,8 @@
                 peer.host,
                 peer.port,
                 HttpStore(self.platform.address),
-                {self.profile.team: self.team},
-                tuple(other for other in peers if other is not peer),
+                peers=tuple(other for other in peers if other is not peer),
+                extensions=(self._extend(peer),),
             )
             self.keepers[peer.name] = await self._run(  # noqa: WPS476
                 tasks,
@@ -224,6 +153,15 @@
                 options,
             )
 
+    def _extend(self, peer: PeerAddress) -> Callable[..., Any]:
+        """Return what spreads settings beside a keeper."""
+        flags = KeeperFlags(
+            peer.name,
+            peer.zone,
+            teams=(self.profile.team,),
+        )
+        return partial(extend_keeper, flags)
+
     async def _start_proxies(self, tasks: TaskGroup) -> None:
         addresses = [
             KeeperAddress(keeper.options.name, _HOST, keeper.port)
@@ -234,9 +172,8 @@
             name = 'proxy-{0}'.format(number)
             options = ProxyOptions(
                 name,
-                self.zone_of(number),
+                self.profile.zone_of(number),
                 keepers=(*addresses[first:], *addresses[:first]),
-                teams={self.profile.team: self.team},
             )
             proxy = await self._run(  # noqa: WPS476
                 tasks,
@@ -254,18 +191,18 @@
         self,
         tasks: TaskGroup,
         name: str,
-        serve: Callable[..., object],
-        options: object,
-    ) -> object:
+        serve: Callable[..., Any],
+        options: Any,
+    ) -> Any:
         return await tasks.start(self._serve, name, serve, options)
 
     async def _serve(
         self,
         name: str,
-        serve: Callable[..., object],
-        options: object,
+        serve: Callable[..., Any],
+        options: Any,
         *,
-        task_status: object,
+        task_status: Any,
     ) -> None:
         scope = anyio.CancelScope()
         self._scopes[name] = scope
--- a/catkincrank/standins/faults.py
+++ b/catkincrank/standins/faults.py
@@ -4,16 +4,20 @@
 from typing import final
 
 import anyio
+import msgspec
 
 from catkincrank.load.profile import FaultStep
 from catkincrank.records import (
     DrainBegan,
+    LeavingChanged,
     ProcessChanged,
     ProcessState,
     RecordedHistory,
+    SettingsAccepted,
 )
 from catkincrank.registry import Registry
 from catkincrank.standins.deployment import Deployment
+from catkincrank.store import Row
 
 __all__ = ('FaultScript', 'faults')
 
@@ -55,6 +59,17 @@
         self.log.append((anyio.current_time(), step))
         await faults.find(step.action)(self, step)
 
+    def note_accepted(self, row: Row) -> None:
+        """Record that the store accepted a version of the settings."""
+        self.history.add(
+            SettingsAccepted(
+                anyio.current_time(),
+                self.deployment.profile.team,
+                row.version,
+                row.change_id,
+            ),
+        )
+
     def name_group(self, step: FaultStep) -> str:
         """Return the group that a step strikes."""
         team = self.deployment.profile.team
@@ -135,3 +150,35 @@
 @faults.register('store_up')
 async def _start_store(script: FaultScript, step: FaultStep) -> None:
     script.deployment.platform.faults.is_down = False
+
+
+@faults.register('change_settings')
+async def _change_settings(script: FaultScript, step: FaultStep) -> None:
+    team = script.deployment.team
+    changed = msgspec.structs.replace(team, weight=team.weight + 1)
+    row = await script.deployment.change_settings(changed)
+    script.note_accepted(row)
+
+
+@faults.register('leave')
+async def _leave(script: FaultScript, step: FaultStep) -> None:
+    """Mark a replica of a service as leaving."""
+    name = script.name_group(step)
+    team = script.deployment.team
+    service = team.services[step.service]
+    primary = script.deployment.groups[name].primary
+    leaving = next(one for one in service.endpoints if one.name != primary)
+    endpoints = tuple(
+        msgspec.structs.replace(one, is_leaving=one is leaving)
+        for one in service.endpoints
+    )
+    changed = msgspec.structs.replace(service, endpoints=endpoints)
+    services = {**team.services, step.service: changed}
+    row = await script.deployment.change_settings(
+        msgspec.structs.replace(team, services=services),
+    )
+    script.note_accepted(row)
+    endpoint = '{0}/{1}'.format(name, leaving.name)
+    script.history.add(
+        LeavingChanged(anyio.current_time(), endpoint, is_leaving=True),
+    )
