Count a gap from the fault when no write came before it

Change: the window's start stands for the missing success; a test for it. Conclusion: gaps can no longer look shorter than they were.

--- a/catkincrank/load/summary.py
+++ b/catkincrank/load/summary.py
@@ -121,7 +121,8 @@
     Args:
         outcomes: What came of each arrival.
         service: Number of the service.
-        since_s: Start of the window; the last success before it counts.
+        since_s: Start of the window; the last success before it counts, or
+            the start itself when there was none.
         until_s: End of the window; the first success after it counts.
 
     Returns:
@@ -134,13 +135,11 @@
         and one.is_write
         and one.verdict is Verdict.RAN
     )
-    before = [at for at in times if at <= since_s]
-    after = [at for at in times if at >= until_s]
-    inside = [at for at in times if since_s < at < until_s]
-    ends = [*before[-1:], *inside, *after[:1]]
-    if not before and not inside:
-        return math.inf
-    if not after and not inside:
+    before = [at for at in times if at <= since_s] or [since_s]
+    later = [at for at in times if at > since_s]
+    inside = [at for at in later if at < until_s]
+    if not later:
         return math.inf
+    ends = [before[-1], *inside, *later[len(inside) : len(inside) + 1]]
     pairs = zip(ends, ends[1:], strict=False)
-    return max((later - earlier for earlier, later in pairs), default=math.inf)
+    return max(end - begin for begin, end in pairs)
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -50,7 +50,8 @@
         ((1, 2.5, 9, 12, 20), 8),
         ((1, 20), 19),
         ((1,), math.inf),
-        ((20,), math.inf),
+        ((20,), 18),
+        ((3, 4), 1),
         ((), math.inf),
     ],
 )
