Record a request only when it is about to leave its caller

Change: the caller checks its connection before it records a submission. Conclusion: what remains in the drain's count is what was really cut.

--- a/catkincrank/load/caller.py
+++ b/catkincrank/load/caller.py
@@ -188,6 +188,15 @@
         else:
             await self._transact(connection, submission)
 
+    def _note_sent(
+        self,
+        connection: CallerConnection,
+        submission: Submission,
+    ) -> None:
+        """Record a request, unless the proxy has left before it is sent."""
+        connection.check()
+        self._recorder.note_sent(submission, connection.target.name)
+
     async def _read(
         self,
         connection: CallerConnection,
@@ -198,7 +207,7 @@
         if wanted != self._staleness:
             await connection.execute(_SET_STALENESS.format(wanted))
             self._staleness = wanted
-        self._recorder.note_sent(submission, connection.target.name)
+        self._note_sent(connection, submission)
         answer = await connection.execute(
             workload.SELECT_VERSION,
             submission.tag,
@@ -215,7 +224,7 @@
     ) -> None:
         await connection.execute(_SET_KEY.format(submission.tag))
         await connection.execute(_SET_ONCE)
-        self._recorder.note_sent(submission, connection.target.name)
+        self._note_sent(connection, submission)
         answer = await self._insert(connection, submission)
         submission.settle(Verdict.RAN)
         echo = answer.rows[0][0] or ''
@@ -227,7 +236,7 @@
         connection: CallerConnection,
         submission: Submission,
     ) -> None:
-        self._recorder.note_sent(submission, connection.target.name)
+        self._note_sent(connection, submission)
         await connection.execute('BEGIN')
         await self._insert(connection, submission)
         await connection.execute(
--- a/catkincrank/load/connection.py
+++ b/catkincrank/load/connection.py
@@ -104,11 +104,19 @@
     def is_usable(self) -> bool:
         """Return whether the proxy has left the connection open."""
         try:
-            libpq.check_connection(self._pgconn)
+            self.check()
         except EndpointError:
             return False
         return True
 
+    def check(self) -> None:
+        """Notice that the proxy has ended the connection.
+
+        Raises:
+            EndpointError: It has; nothing was sent.
+        """
+        libpq.check_connection(self._pgconn)
+
     def close(self) -> None:
         """Close at once."""
         self._pgconn.finish()
--- a/catkincrank/load/summary.py
+++ b/catkincrank/load/summary.py
@@ -140,6 +140,7 @@
     inside = [at for at in later if at < until_s]
     if not later:
         return math.inf
-    ends = [before[-1], *inside, *later[len(inside) : len(inside) + 1]]
+    after = later[len(inside) :]
+    ends = [before[-1], *inside, *after[:1]]
     pairs = zip(ends, ends[1:], strict=False)
     return max(end - begin for begin, end in pairs)
