--- a/catkincrank/load/caller.py
+++ b/catkincrank/load/caller.py
@@ -101,7 +101,8 @@
         submission = Submission(arrival, self._version)
         while anyio.current_time() < give_up_at and not submission.is_final:
             if submission.attempts:
-                await self._rest()
+                delay_s = _RETRY_DELAY_S * (1 + self._drawn.random())
+                await anyio.sleep(delay_s)
             await self._attempt(submission, give_up_at)
         return Outcome(
             arrival,
@@ -119,9 +120,6 @@
         self._connection = None
         self._staleness = ''
 
-    async def _rest(self) -> None:
-        await anyio.sleep(_RETRY_DELAY_S * (1 + self._drawn.random()))
-
     async def _attempt(
         self,
         submission: Submission,
