--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -18,6 +18,7 @@
     settingsDigest @9 :SettingsDigest;
     settingsDelta @10 :SettingsDelta;
     settingsPush @11 :SettingsPush;
+    drainNotice @13 :DrainNotice;
   }
 }
 
@@ -143,3 +144,8 @@
   changeId @2 :Text;
   crossesZones @3 :Bool;
 }
+
+struct DrainNotice {
+  machine @0 :Text;
+  cause @1 :Text;
+}
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -42,6 +42,7 @@
         is_suspect=True,
         silent_s=2.5,
     ),
+    'drainNotice': messages.DrainNotice('vm1', 'listed as leaving'),
     'settingsDigest': messages.SettingsDigest(7, 1.5),
     'settingsDelta': messages.SettingsDelta(
         9,
