--- a/catkincrank/relayservice.py
+++ b/catkincrank/relayservice.py
@@ -13,8 +13,7 @@
 from catkincrank.keeper import Keeper
 from catkincrank.links import Link, LinkClosedError
 from catkincrank.logs import Recorder
-from catkincrank.messages import Hello
-from catkincrank.peerlinks import PeerLinks
+from catkincrank.membership import PeerState
 from catkincrank.relay import Relay
 from catkincrank.relayactions import Action, Enforce, ReadIndex, ReadTeam, Send
 from catkincrank.relayreport import SettingsReport, report_book
@@ -33,6 +32,8 @@
 __all__ = ('RelayService',)
 
 _TICK_S = 0.25
+_PEERS_INTERVAL_S = 1.0
+_LIVE_STATES = frozenset((PeerState.LISTED, PeerState.ALIVE))
 _PROXY = 'proxy'
 
 
@@ -58,22 +59,13 @@
         self._teams = teams
         self._store: Store | None = options.store
         self._recorder = Recorder(keeper.journal)
+        self._peers: frozenset[RelayPeer] = frozenset()
+        self._peers_due_at = float('-inf')
         self._subscribers: dict[Link, tuple[str, ...]] = {}
         self.relay = Relay(
             RelayPeer(options.name, options.zone),
             random.Random(keeper.incarnation),
         )
-        hello = Hello(
-            options.name,
-            options.zone,
-            'keeper',
-            keeper.incarnation,
-        )
-        self.links = PeerLinks(hello, keeper.dispatcher, tasks)
-        self.relay.roster.replace(
-            RelayPeer(peer.name, peer.zone) for peer in options.peers
-        )
-        self.links.replace(options.peers)
         self._register()
         self._serve_wanted()
 
@@ -91,6 +83,7 @@
     async def run(self) -> None:
         """Follow settings until cancelled."""
         while True:
+            self._follow_membership()
             self._act(self.relay.tick(anyio.current_time()))
             await anyio.sleep(_TICK_S)
 
@@ -99,6 +92,20 @@
         for link in tuple(self._subscribers):
             self._tasks.start_soon(self._publish, link, message)
 
+    def _follow_membership(self) -> None:
+        now = anyio.current_time()
+        if now < self._peers_due_at:
+            return
+        self._peers_due_at = now + _PEERS_INTERVAL_S
+        peers = frozenset(
+            RelayPeer(belief.address.name, belief.address.zone)
+            for belief in self._keeper.fleet.membership.beliefs.values()
+            if belief.state in _LIVE_STATES
+        )
+        if peers != self._peers:
+            self._peers = peers
+            self.relay.roster.replace(sorted(peers, key=_get_name))
+
     def _register(self) -> None:
         handle = self._keeper.dispatcher.handle
         handle(SettingsRequest)(self._on_request)
@@ -144,7 +151,7 @@
         for action in actions:
             match action:
                 case Send():
-                    self.links.send(action.peer, action.message)
+                    self._keeper.links.send(action.peer, action.message)
                 case Enforce():
                     self._enforce(action)
                 case ReadIndex():
@@ -211,3 +218,7 @@
         wanted = set(self._teams).union(*self._subscribers.values())
         now = anyio.current_time()
         self.relay.knowledge.serve_teams(wanted, now)
+
+
+def _get_name(peer: RelayPeer) -> str:
+    return peer.name
