--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -18,7 +18,7 @@
     settingsDigest @9 :SettingsDigest;
     settingsDelta @10 :SettingsDelta;
     settingsPush @11 :SettingsPush;
-    drainNotice @13 :DrainNotice;
+    drainNotice @12 :DrainNotice;
   }
 }
 
