--- a/catkincrank/executor.py
+++ b/catkincrank/executor.py
@@ -12,6 +12,7 @@
     Answer,
     Description,
     StatementError,
+    TransactionStatus,
 )
 from catkincrank.housekeeping import KeyPruner
 from catkincrank.leases import Leases
