Give up on answers that evidence says will not come

Ruled out: a plain timeout per statement, which would end long statements that are well; concurrent attempts, which cost a second connection. Change: a review on each news of a group gives up on a write whose primary was replaced and on a statement to an instance that has answered nobody for 3 s while its group is heard of. The connection is closed; verdicts as before. A connection that goes silent alone, to a primary that is well, is still found only at the deadline or by the idle probe.

--- a/catkincrank/assembly.py
+++ b/catkincrank/assembly.py
@@ -4,6 +4,7 @@
 
 from catkincrank import acknowledgements, endpoints, filters  # noqa: F401
 from catkincrank.acknowledging import Acknowledger
+from catkincrank.answerwatch import AnswerWatch
 from catkincrank.catalog import Catalog
 from catkincrank.executor import Executor, Runners
 from catkincrank.leases import Leases
@@ -35,6 +36,7 @@
         zone: Availability zone of the proxy.
         tally: Takes counts of outcomes.
     """
+    AnswerWatch(news.feed, leases.waiting)
     retries = Retries(random.Random())
     reader = Reader(news, leases, retries, tally, zone)
     primaries = PrimaryFinder(news, leases, retries)
--- a/catkincrank/leases.py
+++ b/catkincrank/leases.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from catkincrank.answerwatch import AwaitedAnswer
 from catkincrank.endpoint import (
     Answer,
     Description,
@@ -39,20 +40,37 @@
 
     Attributes:
         connection: The connection.
+        group: Group that it serves.
+        needs_primary: Whether its transaction may write.
         is_dirty: Whether its caller may have left state on the connection.
         is_open: Whether it is still held.
     """
 
     __slots__ = (
+        '_cause',
+        '_scope',
+        '_sent_at',
         'connection',
         'connection_id',
+        'group',
         'is_dirty',
         'is_open',
         'member',
+        'needs_primary',
     )
 
-    def __init__(self, member: Member, connection_id: int) -> None:
+    def __init__(
+        self,
+        member: Member,
+        connection_id: int,
+        group: str = '',
+    ) -> None:
         self.member = member
+        self.group = group
+        self.needs_primary = False
+        self._cause = ''
+        self._scope: anyio.CancelScope | None = None
+        self._sent_at: float = 0
         self.connection_id = connection_id
         self.connection = member.runner.connection(connection_id)
         self.is_dirty = False
@@ -63,6 +81,41 @@
         """Name of the endpoint that it leads to."""
         return self.member.endpoint.name
 
+    @contextmanager
+    def await_answer(self) -> Iterator[None]:
+        """Hold a wait for an answer, which ``give_up`` may end.
+
+        Raises:
+            EndpointError: The wait was given up.
+        """
+        self._cause = ''
+        self._sent_at = anyio.current_time()
+        self._scope = anyio.CancelScope()
+        try:
+            with self._scope:
+                yield
+        finally:
+            self._scope = None
+        if self._cause:
+            raise EndpointError(self._cause, was_sent=True)
+
+    def describe_wait(self) -> AwaitedAnswer | None:
+        """Return what is awaited, if anything is."""
+        if self._scope is None:
+            return None
+        return AwaitedAnswer(
+            self.group,
+            self.endpoint,
+            self.needs_primary,
+            self._sent_at,
+        )
+
+    def give_up(self, cause: str) -> None:
+        """End the wait for an answer."""
+        if self._scope is not None:
+            self._cause = cause
+            self._scope.cancel()
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -72,10 +125,12 @@
     Attributes:
         member: The endpoint that it waits for.
         ticket: Its place.
+        group: Group of the request.
     """
 
     member: Member
     ticket: Ticket
+    group: str
 
     @property
     def is_granted(self) -> bool:
@@ -85,7 +140,7 @@
     async def wait(self) -> Lease:
         """Return the connection once it is granted."""
         connection_id = await self.member.runner.wait(self.ticket)
-        return Lease(self.member, connection_id)
+        return Lease(self.member, connection_id, self.group)
 
 
 @final
@@ -94,12 +149,16 @@
 
     Args:
         pools: Pools of the groups.
+
+    Attributes:
+        waiting: Leases on which an answer is awaited.
     """
 
-    __slots__ = ('_numbers', 'pools')
+    __slots__ = ('_numbers', 'pools', 'waiting')
 
     def __init__(self, pools: GroupPools) -> None:
         self.pools = pools
+        self.waiting: set[Lease] = set()
         self._numbers = itertools.count(1)
 
     def ask(self, request: Request, endpoint: str) -> LeaseTicket:
@@ -117,7 +176,8 @@
             member.login,
             anyio.current_time(),
         )
-        return LeaseTicket(member, member.runner.ask(entry))
+        ticket = member.runner.ask(entry)
+        return LeaseTicket(member, ticket, request.group)
 
     async def acquire(self, request: Request, endpoint: str) -> Lease:
         """Return a connection once one is free.
@@ -186,8 +246,10 @@
 
     @contextmanager
     def _guard(self, lease: Lease) -> Iterator[None]:
+        self.waiting.add(lease)
         try:
-            yield
+            with lease.await_answer():
+                yield
         except StatementError:
             raise
         except EndpointError:
@@ -196,6 +258,8 @@
         except BaseException:
             self.discard(lease, is_lost=True)
             raise
+        finally:
+            self.waiting.discard(lease)
 
 
 async def _reset(connection: EndpointConnection) -> bool:
--- a/catkincrank/primary.py
+++ b/catkincrank/primary.py
@@ -53,6 +53,11 @@
         Raises:
             RequestError: Too many requests wait already.
         """
+        lease = await self._lease(request)
+        lease.needs_primary = True
+        return lease
+
+    async def _lease(self, request: Request) -> Lease:
         ticket = self._ask(request)
         if ticket is not None and ticket.is_granted:
             return await ticket.wait()
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -75,6 +75,57 @@
     play(scenario)
 
 
+@pytest.mark.parametrize(
+    ('step', 'key', 'outcome', 'effects'),
+    [
+        ('begin', '', 'UPDATE 1', 1),
+        ('pay', '', 'UPDATE 1', 1),
+        ('commit', '', MAYBE, 0),
+        ('commit', 'k1', 'UPDATE 1', 1),
+    ],
+)
+def test_silent_primary_is_given_up_when_replaced(step, key, outcome, effects):
+    async def scenario(group, executor):
+        group.faults = {step: 'hang'}
+        session = open_session(request_key=key)
+
+        async def replace_primary():
+            await anyio.sleep(3)
+            group.promote('b')
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(replace_primary)
+            assert await submit(executor, session, PAY) == outcome
+        assert anyio.current_time() < 4
+        assert len(group.effects) == effects
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(('is_heard', 'ends_at'), [(False, 3.25), (True, 30)])
+def test_read_leaves_an_instance_that_answers_nobody(is_heard, ends_at):
+    """A read that merely takes long is left alone."""
+
+    async def scenario(group, executor):
+        group.faults = {'select': 'hang'}
+        session = open_session()
+
+        async def publish():
+            while True:
+                await anyio.sleep(0.25)
+                silent = {group.steps[-1][1]} if not is_heard else set()
+                group.publish(*(set('abc') - silent))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(publish)
+            outcome = await submit(executor, session, 'select 1')
+            assert outcome == (NOT_RUN if is_heard else 'SELECT 1')
+            assert anyio.current_time() == pytest.approx(ends_at, abs=0.5)
+            tasks.cancel_scope.cancel()
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     ('followers', 'outcome'),
     [(('b',), MAYBE), (('b', 'c'), NOT_RUN)],
