Have the kernel end connections whose path lost track of them

Cause: a connection that goes silent alone, while new ones to the same instance work, was found in the middle of a statement only at the deadline. Change: the driver asks for TCP keepalives (2 s idle, 3 probes 1 s apart) and a 5 s limit on unacknowledged data, so the socket fails and the usual verdict follows. Measured: the options are read back from the socket in a test; a lost path itself cannot be made on loopback without tools we do not use, not run.

--- a/catkincrank/endpoints/postgres.py
+++ b/catkincrank/endpoints/postgres.py
@@ -37,6 +37,10 @@
 _RECEIVER_POLL_S = 0.02
 _RECEIVER_POLLS = 100
 _ROLLED_BACK = 'ROLLBACK'
+_KEEPALIVE_IDLE_S = 2
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_COUNT = 3
+_UNACKNOWLEDGED_LIMIT_MS = 5000
 
 
 @final
@@ -225,6 +229,10 @@
             application_name=application,
             sslmode='disable',
             gssencmode='disable',
+            keepalives_idle=_KEEPALIVE_IDLE_S,
+            keepalives_interval=_KEEPALIVE_INTERVAL_S,
+            keepalives_count=_KEEPALIVE_COUNT,
+            tcp_user_timeout=_UNACKNOWLEDGED_LIMIT_MS,
         )
         pgconn = await libpq.open_connection(conninfo)
         connection = PostgresConnection(pgconn, address.endpoint)
--- a/tests/test_postgres.py
+++ b/tests/test_postgres.py
@@ -1,3 +1,5 @@
+import socket
+
 import anyio
 import pytest
 
@@ -146,3 +148,28 @@
             assert (await connect(group, 'a')).incarnation != a.incarnation
 
     anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    ('option', 'expected'),
+    [
+        (socket.TCP_KEEPIDLE, 2),
+        (socket.TCP_KEEPINTVL, 1),
+        (socket.TCP_KEEPCNT, 3),
+        (socket.TCP_USER_TIMEOUT, 5000),
+    ],
+)
+def test_the_kernel_finds_connections_that_went_silent(option, expected):
+    """A path that lost track of a connection ends it within 5 s."""
+
+    async def main():
+        async with StandinGroup(options=OPTIONS) as group:
+            connection = await connect(group, 'a')
+            descriptor = connection._pgconn.socket
+            with socket.socket(fileno=descriptor) as own:
+                found = own.getsockopt(socket.IPPROTO_TCP, option)
+                own.detach()
+            await connection.close()
+            assert found == expected
+
+    anyio.run(main)
