--- a/catkincrank/load/profile.py
+++ b/catkincrank/load/profile.py
@@ -81,6 +81,7 @@
         statement_s: Time that an instance works on a statement.
         ship_s: Delay of replication.
         apply_s: Time from a record's arrival at a replica to its replay.
+        acknowledgement: Policy by which writes are acknowledged.
         workload: What callers do.
         faults: Faults on the timeline.
     """
@@ -98,6 +99,7 @@
     statement_s: float = 0
     ship_s: float = 0.01
     apply_s: float = 0
+    acknowledgement: str = 'replica'
     workload: Workload = Workload()
     faults: tuple[FaultStep, ...] = ()
 
--- a/catkincrank/standins/deployment.py
+++ b/catkincrank/standins/deployment.py
@@ -108,7 +108,12 @@
 
     async def change_settings(self, team: Team) -> Row:
         """Write a new subtree through the store, as an operator does."""
-        row = await write_team(self.platform, self.profile.team, team)
+        row = await write_team(
+            self.platform,
+            self.profile.team,
+            team,
+            self._list_keepers(),
+        )
         self.team = team
         return row
 
@@ -162,11 +167,14 @@
         )
         return partial(extend_keeper, flags)
 
-    async def _start_proxies(self, tasks: TaskGroup) -> None:
-        addresses = [
+    def _list_keepers(self) -> list[KeeperAddress]:
+        return [
             KeeperAddress(keeper.options.name, _HOST, keeper.port)
             for keeper in self.keepers.values()
         ]
+
+    async def _start_proxies(self, tasks: TaskGroup) -> None:
+        addresses = self._list_keepers()
         for number in range(self.profile.proxies):
             first = number % len(addresses)
             name = 'proxy-{0}'.format(number)
--- a/catkincrank/standins/groupset.py
+++ b/catkincrank/standins/groupset.py
@@ -58,6 +58,7 @@
         services = {
             name.partition('/')[2]: Service(
                 self._describe_endpoints(name),
+                acknowledgement=self._profile.acknowledgement,
                 limits=Limits(
                     self._profile.connections,
                     slots=self._profile.slots,
--- a/catkincrank/standins/operator.py
+++ b/catkincrank/standins/operator.py
@@ -1,9 +1,12 @@
 """An operator who changes settings through the platform's store."""
 
 import time
+from collections.abc import Sequence
 
 from catkincrank.changes import Change, change_team
+from catkincrank.feedclient import KeeperAddress
 from catkincrank.settings import Team, encode_team
+from catkincrank.settingspush import push_change
 from catkincrank.standins.platform import StandinPlatform
 from catkincrank.store import ABSENT, Row
 from catkincrank.stores.http import HttpStore
@@ -18,8 +21,9 @@
     platform: StandinPlatform,
     name: str,
     team: Team,
+    keepers: Sequence[KeeperAddress] = (),
 ) -> Row:
-    """Write a team's subtree on the version in force."""
+    """Write a team's subtree on the version in force; tell a keeper."""
     stored = platform.table.read(settings_key(name))
     change = Change(
         name,
@@ -28,4 +32,6 @@
         _AUTHOR,
         time.time(),
     )
-    return await change_team(HttpStore(platform.address), change)
+    row = await change_team(HttpStore(platform.address), change)
+    await push_change(row, _AUTHOR, tuple(keepers))
+    return row
