--- /dev/null
+++ b/catkincrank/keeperdump.py
@@ -0,0 +1,67 @@
+"""What a keeper believes of peers, duties and instances, for its dump."""
+
+from typing import Any
+
+import anyio
+import msgspec
+
+from catkincrank.duty import find_bucket
+from catkincrank.keeper import Keeper
+from catkincrank.supervision import Supervision
+
+__all__ = ('dump_keeper',)
+
+
+def dump_keeper(keeper: Keeper) -> dict[str, Any]:
+    """Return beliefs with why and since when, duties and supervisions."""
+    now = anyio.current_time()
+    return {
+        'peers': _dump_peers(keeper, now),
+        'duties': _dump_duties(keeper),
+        'duty_moves': keeper.fleet.duties.moves,
+        'supervised': {
+            group: _dump_supervision(supervision, now)
+            for group, supervision in keeper.supervisor.supervisions.items()
+        },
+    }
+
+
+def _dump_peers(keeper: Keeper, now: float) -> dict[str, Any]:
+    return {
+        name: {
+            'zone': belief.address.zone,
+            'state': belief.state.value,
+            'why': belief.why,
+            'for_s': round(now - belief.since, 3),
+        }
+        for name, belief in keeper.fleet.membership.beliefs.items()
+    }
+
+
+def _dump_duties(keeper: Keeper) -> dict[str, Any]:
+    duties = keeper.fleet.duties
+    chosen = {
+        group: duties.chosen.get(find_bucket(group))
+        for group in keeper.list_groups()
+    }
+    return {
+        group: {
+            'rank': keeper.fleet.find_rank(group),
+            **msgspec.to_builtins(duty),
+        }
+        for group, duty in chosen.items()
+        if duty is not None
+    }
+
+
+def _dump_supervision(supervision: Supervision, now: float) -> dict[str, Any]:
+    trouble = supervision.trouble
+    failover = supervision.failover
+    return {
+        'evidence': dict(supervision.sightings.describe(now)),
+        'reachable': supervision.sightings.list_reachable(now),
+        'trouble': '' if trouble is None else trouble.kind.value,
+        'trouble_for_s': 0 if trouble is None else now - trouble.since,
+        'failover': '' if failover is None else failover.phase.value,
+        'claimed_term': supervision.record.term,
+    }
--- a/catkincrank/keeperprogram.py
+++ b/catkincrank/keeperprogram.py
@@ -9,6 +9,7 @@
 from catkincrank.admin import AdminHooks, AdminServer
 from catkincrank.errors import OptionError
 from catkincrank.keeper import Keeper, KeeperOptions, PeerAddress, serve
+from catkincrank.keeperdump import dump_keeper
 from catkincrank.leavingservice import LeavingService
 from catkincrank.metrics import Metrics
 from catkincrank.relayreport import expose_settings
@@ -111,10 +112,7 @@
 
 def _make_hooks(keeper: Keeper, service: RelayService) -> AdminHooks:
     def dump() -> dict[str, Any]:  # noqa: WPS430
-        return dump_process(
-            keeper,
-            'keeper',
-            service.report(),
-        )
+        state = dump_process(keeper, 'keeper', service.report())
+        return {**state, **dump_keeper(keeper)}
 
     return AdminHooks(dump, lambda: service.report().list_obstacles())
--- a/tests/test_failover_standins.py
+++ b/tests/test_failover_standins.py
@@ -6,6 +6,7 @@
 from catkincrank import endpoints  # noqa: F401
 from catkincrank.instance import Role
 from catkincrank.keeper import KeeperOptions, PeerAddress, serve
+from catkincrank.keeperdump import dump_keeper
 from catkincrank.standins.group import StandinGroup
 from catkincrank.stores.memory import MemoryStore
 from tests.deployment import GROUP, make_team
@@ -70,6 +71,10 @@
                     for keeper in keepers
                 ),
             )
+            dump = dump_keeper(keepers[0])
+            assert dump['duties'][GROUP]['rank'] is not None
+            assert dump['supervised'][GROUP]['trouble'] == ''
+            assert set(dump['peers']) == {'k1', 'k2'}
             getattr(group, fault)('a')
             await wait_until(lambda: group.primary in ('b', 'c'))
             if fault == 'kill':
