Let keepers follow every team, and explain the last promotion

Duty for a group falls to keepers whatever teams their own proxies ask for, so a keeper that followed only those might leave a group unwatched. Keepers follow every team in the store unless told otherwise. `explain` showed the last quiet suspicion in place of the last failover; a story with a promotion goes first.

--- a/catkincrank/explanation.py
+++ b/catkincrank/explanation.py
@@ -11,6 +11,7 @@
 
 _QUIET_GAP_S = 60
 _GROUP = 'group'
+_PROMOTION = 'promotion'
 
 
 def collect_events(states: Iterable[ProcessState]) -> list[Event]:
@@ -27,19 +28,21 @@
 
 
 def last_story(events: Iterable[Event], group: str) -> list[Event]:
-    """Return the newest run of events about ``group`` that had no long pause.
+    """Return the events of the last failover of ``group``.
 
     A failover's events follow one another closely, so a quiet minute parts
-    one story from the next.
+    one story from the next. The last story with a promotion counts, or the
+    last of all when nothing was promoted.
     """
-    story: list[Event] = []
+    stories: list[list[Event]] = [[]]
     for event in events:
         if not _concerns(event, group):
             continue
-        if story and event.at - story[-1].at > _QUIET_GAP_S:
-            story = []
-        story.append(event)
-    return story
+        if stories[-1] and event.at - stories[-1][-1].at > _QUIET_GAP_S:
+            stories.append([])
+        stories[-1].append(event)
+    promoted = [story for story in stories if _has_promotion(story)]
+    return promoted[-1] if promoted else stories[-1]
 
 
 def describe_event(event: Event, began_at: float) -> str:
@@ -61,3 +64,7 @@
 def _concerns(event: Event, group: str) -> bool:
     named = {event.subject, event.evidence.get(_GROUP, '')}
     return group in named or event.subject.startswith('{0}/'.format(group))
+
+
+def _has_promotion(story: list[Event]) -> bool:
+    return any(event.name == _PROMOTION for event in story)
--- a/catkincrank/keeperprogram.py
+++ b/catkincrank/keeperprogram.py
@@ -12,7 +12,7 @@
 from catkincrank.leavingservice import LeavingService
 from catkincrank.metrics import Metrics
 from catkincrank.relayreport import expose_settings
-from catkincrank.relayservice import RelayService
+from catkincrank.relayservice import EVERY_TEAM, RelayService
 from catkincrank.shutdown import stop_at_signal
 from catkincrank.statedump import dump_process
 from catkincrank.storeaddress import open_store
@@ -60,7 +60,8 @@
         host: IP number to listen on.
         port: TCP port to listen on.
         store: URL of the platform's service.
-        teams: Teams to follow besides those that proxies ask for.
+        teams: Teams to follow besides those that proxies ask for; * is
+            every team in the store.
         peers: Other keepers, NAME/ZONE/HOST:PORT parted by commas.
         admin_host: IP number of the admin port.
         admin_port: TCP port of the admin port; 0 takes a free one.
@@ -71,7 +72,7 @@
     host: str = '127.0.0.1'
     port: int = 7432
     store: str = ''
-    teams: tuple[str, ...] = ()
+    teams: tuple[str, ...] = (EVERY_TEAM,)
     peers: tuple[PeerFlag, ...] = ()
     admin_host: str = '127.0.0.1'
     admin_port: int = 0
--- a/catkincrank/relay.py
+++ b/catkincrank/relay.py
@@ -50,11 +50,13 @@
     Attributes:
         knowledge: What the node knows.
         roster: Live nodes.
+        serves_all: Whether it holds the subtree of every team it hears of.
     """
 
     def __init__(self, node: RelayPeer, source: random.Random) -> None:
         self.knowledge = Knowledge()
         self.roster = Roster(node, source)
+        self.serves_all = False
         self._random = source
         self._index_due_at: float = 0
         self._digest_due_at: float = 0
@@ -135,7 +137,7 @@
         """Take in a message from a peer, or from a writer of settings."""
         match message:
             case SettingsPush():
-                actions = self._on_push(sender, message)
+                actions = self._on_push(sender, message, now)
             case SettingsDigest():
                 actions = self._on_digest(sender, message, now)
             case SettingsDelta():
@@ -151,10 +153,17 @@
                 return []
         return [*actions, *self._settle(now)]
 
-    def _on_push(self, sender: str, push: SettingsPush) -> list[Action]:
+    def _on_push(
+        self,
+        sender: str,
+        push: SettingsPush,
+        now: float,
+    ) -> list[Action]:
         entry = push.entry
         if not self._passed.add(push.change_id):
             return []
+        if self.serves_all:
+            self.knowledge.serve_also((entry.team,), now)
         self.knowledge.window.add(entry)
         row = Row(
             settings_key(entry.team),
@@ -219,6 +228,8 @@
         return self._take(row, sender, now)
 
     def _learn(self, entry: SettingsEntry, hint: str, now: float) -> None:
+        if self.serves_all:
+            self.knowledge.serve_also((entry.team,), now)
         if not self.knowledge.learn(entry):
             return
         is_reader = self.roster.is_reader
--- a/catkincrank/relayknowledge.py
+++ b/catkincrank/relayknowledge.py
@@ -87,6 +87,10 @@
                 self.book.offer(cached)
         self._served = wanted
 
+    def serve_also(self, teams: Iterable[str], now: float) -> None:
+        """Add teams whose subtrees this node holds."""
+        self.serve_teams(self._served.union(teams), now)
+
     def list_unknown(self) -> list[str]:
         """Return the served teams whose newest version is not here."""
         awaited = {*self.wants.list_teams(), *self.loads.list_teams()}
--- a/catkincrank/relayservice.py
+++ b/catkincrank/relayservice.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any, final
 
 import anyio
@@ -27,12 +28,15 @@
     SettingsUpdate,
 )
 from catkincrank.store import Row, Store
-from catkincrank.subtree import settings_key
+from catkincrank.subtree import SETTINGS_PREFIX, settings_key, team_of_key
 
-__all__ = ('RelayService',)
+__all__ = ('EVERY_TEAM', 'RelayService')
+
+EVERY_TEAM = '*'
 
 _TICK_S = 0.25
 _PEERS_INTERVAL_S = 1.0
+_LIST_RETRY_S = 1.0
 _LIVE_STATES = frozenset((PeerState.LISTED, PeerState.ALIVE))
 _PROXY = 'proxy'
 
@@ -43,7 +47,8 @@
 
     Args:
         keeper: The keeper.
-        teams: Teams to serve whether or not a proxy asks for them.
+        teams: Teams to serve whether or not a proxy asks for them; ``*``
+            stands for every team in the store.
         tasks: Runs what is under way.
     """
 
@@ -66,6 +71,8 @@
             RelayPeer(options.name, options.zone),
             random.Random(keeper.incarnation),
         )
+        self._listed: tuple[str, ...] = ()
+        self.relay.serves_all = EVERY_TEAM in teams
         self._register()
         self._serve_wanted()
 
@@ -82,6 +89,8 @@
 
     async def run(self) -> None:
         """Follow settings until cancelled."""
+        if self.relay.serves_all:
+            self._tasks.start_soon(self._list_teams)
         while True:
             self._follow_membership()
             self._act(self.relay.tick(anyio.current_time()))
@@ -157,7 +166,26 @@
                 case ReadIndex():
                     self._tasks.start_soon(self._read_index, action.asked_at)
                 case ReadTeam():
-                    self._tasks.start_soon(self._read_team, action.team)
+                    self._tasks.start_soon(
+                        self._read,
+                        settings_key(action.team),
+                        partial(self.relay.on_row, action.team),
+                    )
+
+    async def _list_teams(self) -> None:
+        """List the store's teams until it has answered once.
+
+        Teams that are made later are learnt from the index.
+        """
+        while self._store is not None:
+            try:
+                rows = await self._store.scan(SETTINGS_PREFIX)
+            except StoreUnavailableError:
+                await anyio.sleep(_LIST_RETRY_S)
+            else:
+                self._listed = tuple(team_of_key(row.key) for row in rows)
+                self._serve_wanted()
+                return
 
     async def _read_index(self, asked_at: float) -> None:
         await self._read(
@@ -165,12 +193,6 @@
             lambda row, now: self.relay.on_index(row, asked_at, now),
         )
 
-    async def _read_team(self, team: str) -> None:
-        await self._read(
-            settings_key(team),
-            lambda row, now: self.relay.on_row(team, row, now),
-        )
-
     async def _read(
         self,
         key: str,
@@ -215,9 +237,13 @@
             self._subscribers.pop(link, None)
 
     def _serve_wanted(self) -> None:
-        wanted = set(self._teams).union(*self._subscribers.values())
+        wanted = {*self._teams, *self._listed} - {EVERY_TEAM}
+        wanted.update(*self._subscribers.values())
         now = anyio.current_time()
-        self.relay.knowledge.serve_teams(wanted, now)
+        if self.relay.serves_all:
+            self.relay.knowledge.serve_also(wanted, now)
+        else:
+            self.relay.knowledge.serve_teams(wanted, now)
 
 
 def _get_name(peer: RelayPeer) -> str:
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -117,6 +117,7 @@
                 _entry('suspicion', 'a/b', 10, 'k1'),
                 _entry('suspicion', 'a/b', 500, 'k1', 2),
                 _entry('promotion', 'a/b', 502, 'k1', 3),
+                _entry('suspicion_cleared', 'a/b', 900, 'k1', 4),
             ]
         },
     ),
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -193,3 +193,12 @@
     assert not roster.has_peers
     assert roster.is_reader
     assert roster.list_sources('') == ()
+
+
+def test_node_that_serves_all_takes_up_teams_it_hears_of():
+    relay = make_relay()
+    relay.serves_all = True
+    told = SettingsEntry(1, 'new', 1)
+    relay.on_message('n9', SettingsDelta(1, 1, 0, 1, (told,)), 1)
+    assert relay.knowledge.serves('new')
+    assert relay.knowledge.serves('t')
--- a/tests/test_relayservice.py
+++ b/tests/test_relayservice.py
@@ -1,4 +1,5 @@
 import socket
+from dataclasses import replace
 
 import anyio
 import pytest
@@ -144,6 +145,32 @@
     assert body == b'{"weight":3}'
 
 
+async def follow_every_team():
+    port, admin = find_ports(2)
+    platform = StandinPlatform()
+    address = AdminAddress(HOST, admin)
+    seen = set()
+    with anyio.fail_after(LIMIT_S):
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(platform.serve)
+            store = open_store(platform.address)
+            await change_team(store, Change('old', b'{}', 0, 'asha', 1))
+            flags = make_flags(platform.address, ('k',), (port,), (admin,))
+            every = replace(flags[0], teams=('*',))
+            await tasks.start(serve, make_options(every))
+            await change_team(store, Change('new', b'{}', 0, 'asha', 2))
+            while seen != {'old', 'new'}:
+                state = await await_knowledge(address)
+                seen = set(state['settings']['versions'])
+                await anyio.sleep(0.1)
+            tasks.cancel_scope.cancel()
+
+
+def test_keeper_follows_every_team_unless_told_otherwise():
+    anyio.run(follow_every_team)
+    assert KeeperFlags('k', 'z').teams == ('*',)
+
+
 async def mark_as_leaving():
     port, admin = find_ports(2)
     platform = StandinPlatform()
