--- a/catkincrank/explanation.py
+++ b/catkincrank/explanation.py
@@ -38,9 +38,11 @@
     for event in events:
         if not _concerns(event, group):
             continue
-        if stories[-1] and event.at - stories[-1][-1].at > _QUIET_GAP_S:
-            stories.append([])
-        stories[-1].append(event)
+        newest = stories[-1]
+        if newest and event.at - newest[-1].at > _QUIET_GAP_S:
+            newest = []
+            stories.append(newest)
+        newest.append(event)
     promoted = [story for story in stories if _has_promotion(story)]
     return promoted[-1] if promoted else stories[-1]
 
