--- a/catkincrank/keeperprogram.py
+++ b/catkincrank/keeperprogram.py
@@ -9,8 +9,11 @@
 from catkincrank.admin import AdminHooks, AdminServer
 from catkincrank.errors import OptionError
 from catkincrank.keeper import Keeper, KeeperOptions, PeerAddress, serve
+from catkincrank.keeperdump import dump_keeper
+from catkincrank.leavingservice import LeavingService
 from catkincrank.metrics import Metrics
-from catkincrank.relayservice import RelayService
+from catkincrank.relayreport import expose_settings
+from catkincrank.relayservice import EVERY_TEAM, RelayService
 from catkincrank.shutdown import stop_at_signal
 from catkincrank.statedump import dump_process
 from catkincrank.storeaddress import open_store
@@ -24,7 +27,6 @@
 )
 
 _PEER_PARTS = 3
-_NEVER_LEARNT_S = -1
 
 
 @final
@@ -59,7 +61,8 @@
         host: IP number to listen on.
         port: TCP port to listen on.
         store: URL of the platform's service.
-        teams: Teams to follow besides those that proxies ask for.
+        teams: Teams to follow besides those that proxies ask for; * is
+            every team in the store.
         peers: Other keepers, NAME/ZONE/HOST:PORT parted by commas.
         admin_host: IP number of the admin port.
         admin_port: TCP port of the admin port; 0 takes a free one.
@@ -70,7 +73,7 @@
     host: str = '127.0.0.1'
     port: int = 7432
     store: str = ''
-    teams: tuple[str, ...] = ()
+    teams: tuple[str, ...] = (EVERY_TEAM,)
     peers: tuple[PeerFlag, ...] = ()
     admin_host: str = '127.0.0.1'
     admin_port: int = 0
@@ -101,35 +104,16 @@
     async with anyio.create_task_group() as tasks:
         service = RelayService(keeper, flags.teams, tasks)
         tasks.start_soon(service.run)
-        server = AdminServer(_make_hooks(keeper, service), _measure(service))
+        tasks.start_soon(LeavingService(keeper, service).run)
+        metrics = Metrics()
+        expose_settings(metrics, service.report)
+        server = AdminServer(_make_hooks(keeper, service), metrics)
         await server.serve(flags.admin_host, flags.admin_port)
 
 
 def _make_hooks(keeper: Keeper, service: RelayService) -> AdminHooks:
     def dump() -> dict[str, Any]:  # noqa: WPS430
-        return dump_process(
-            keeper,
-            'keeper',
-            service.report(),
-        )
+        state = dump_process(keeper, 'keeper', service.report())
+        return {**state, **dump_keeper(keeper)}
 
     return AdminHooks(dump, lambda: service.report().list_obstacles())
-
-
-def _measure(service: RelayService) -> Metrics:
-    metrics = Metrics()
-    metrics.watch(
-        'settings_age_seconds',
-        'Age of what is known of settings; -1 when nothing was learnt.',
-        lambda: _number(service.report().age_s),
-    )
-    metrics.watch(
-        'settings_unknown_teams',
-        'Served teams whose newest settings are not here.',
-        lambda: len(service.report().unknown),
-    )
-    return metrics
-
-
-def _number(age_s: float | None) -> float:
-    return _NEVER_LEARNT_S if age_s is None else age_s
--- a/catkincrank/load/profile.py
+++ b/catkincrank/load/profile.py
@@ -81,6 +81,7 @@
         statement_s: Time that an instance works on a statement.
         ship_s: Delay of replication.
         apply_s: Time from a record's arrival at a replica to its replay.
+        acknowledgement: Policy by which writes are acknowledged.
         workload: What callers do.
         faults: Faults on the timeline.
     """
@@ -98,6 +99,7 @@
     statement_s: float = 0
     ship_s: float = 0.01
     apply_s: float = 0
+    acknowledgement: str = 'replica'
     workload: Workload = Workload()
     faults: tuple[FaultStep, ...] = ()
 
@@ -107,6 +109,10 @@
             '{0}/{1}'.format(self.team, service) for service in self.services
         ]
 
+    def zone_of(self, number: int) -> str:
+        """Return the zone of the VM or instance with a number."""
+        return self.zones[number % len(self.zones)]
+
 
 def list_profiles() -> list[str]:
     """Return the names of the profiles that come with the package."""
--- a/catkincrank/poolsupply.py
+++ b/catkincrank/poolsupply.py
@@ -93,12 +93,26 @@
 
     def serve(self, queue: FairQueue, now: float) -> list[PoolAction]:
         """Give the requests in ``queue`` what there is, and open more."""
+        if not queue:
+            return []
         return [
             *self._probe_suspects(queue, now),
             *self._grant_idle(queue, now),
             *self._open_more(queue, now),
         ]
 
+    def take_idle(self, login: str, now: float) -> Place | None:
+        """Lease the connection used last; ``None`` while any is suspect."""
+        idle = self.places.of_state(PlaceState.IDLE)
+        if any(place.is_suspect for place in idle):
+            return None
+        fitting = [place for place in idle if place.login == login]
+        if not fitting:
+            return None
+        chosen = max(fitting, key=_used_at)
+        chosen.enter(PlaceState.LEASED, now)
+        return chosen
+
     def keep(self, place: Place, now: float) -> list[PoolAction]:
         """Make a connection that has just answered free for requests."""
         place.hear(now)
--- a/catkincrank/relayservice.py
+++ b/catkincrank/relayservice.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any, final
 
 import anyio
@@ -13,8 +14,7 @@
 from catkincrank.keeper import Keeper
 from catkincrank.links import Link, LinkClosedError
 from catkincrank.logs import Recorder
-from catkincrank.messages import Hello
-from catkincrank.peerlinks import PeerLinks
+from catkincrank.membership import PeerState
 from catkincrank.relay import Relay
 from catkincrank.relayactions import Action, Enforce, ReadIndex, ReadTeam, Send
 from catkincrank.relayreport import SettingsReport, report_book
@@ -28,11 +28,16 @@
     SettingsUpdate,
 )
 from catkincrank.store import Row, Store
-from catkincrank.subtree import settings_key
+from catkincrank.subtree import SETTINGS_PREFIX, settings_key, team_of_key
 
-__all__ = ('RelayService',)
+__all__ = ('EVERY_TEAM', 'RelayService')
+
+EVERY_TEAM = '*'
 
 _TICK_S = 0.25
+_PEERS_INTERVAL_S = 1.0
+_LIST_RETRY_S = 1.0
+_LIVE_STATES = frozenset((PeerState.LISTED, PeerState.ALIVE))
 _PROXY = 'proxy'
 
 
@@ -42,7 +47,8 @@
 
     Args:
         keeper: The keeper.
-        teams: Teams to serve whether or not a proxy asks for them.
+        teams: Teams to serve whether or not a proxy asks for them; ``*``
+            stands for every team in the store.
         tasks: Runs what is under way.
     """
 
@@ -58,22 +64,15 @@
         self._teams = teams
         self._store: Store | None = options.store
         self._recorder = Recorder(keeper.journal)
+        self._peers: frozenset[RelayPeer] = frozenset()
+        self._peers_due_at = float('-inf')
         self._subscribers: dict[Link, tuple[str, ...]] = {}
         self.relay = Relay(
             RelayPeer(options.name, options.zone),
             random.Random(keeper.incarnation),
         )
-        hello = Hello(
-            options.name,
-            options.zone,
-            'keeper',
-            keeper.incarnation,
-        )
-        self.links = PeerLinks(hello, keeper.dispatcher, tasks)
-        self.relay.roster.replace(
-            RelayPeer(peer.name, peer.zone) for peer in options.peers
-        )
-        self.links.replace(options.peers)
+        self._listed: tuple[str, ...] = ()
+        self.relay.serves_all = EVERY_TEAM in teams
         self._register()
         self._serve_wanted()
 
@@ -90,10 +89,32 @@
 
     async def run(self) -> None:
         """Follow settings until cancelled."""
+        if self.relay.serves_all:
+            self._tasks.start_soon(self._list_teams)
         while True:
+            self._follow_membership()
             self._act(self.relay.tick(anyio.current_time()))
             await anyio.sleep(_TICK_S)
 
+    def publish(self, message: Any) -> None:
+        """Send ``message`` to every proxy that follows this keeper."""
+        for link in tuple(self._subscribers):
+            self._tasks.start_soon(self._publish, link, message)
+
+    def _follow_membership(self) -> None:
+        now = anyio.current_time()
+        if now < self._peers_due_at:
+            return
+        self._peers_due_at = now + _PEERS_INTERVAL_S
+        peers = frozenset(
+            RelayPeer(belief.address.name, belief.address.zone)
+            for belief in self._keeper.fleet.membership.beliefs.values()
+            if belief.state in _LIVE_STATES
+        )
+        if peers != self._peers:
+            self._peers = peers
+            self.relay.roster.replace(sorted(peers, key=_get_name))
+
     def _register(self) -> None:
         handle = self._keeper.dispatcher.handle
         handle(SettingsRequest)(self._on_request)
@@ -139,13 +160,32 @@
         for action in actions:
             match action:
                 case Send():
-                    self.links.send(action.peer, action.message)
+                    self._keeper.links.send(action.peer, action.message)
                 case Enforce():
                     self._enforce(action)
                 case ReadIndex():
                     self._tasks.start_soon(self._read_index, action.asked_at)
                 case ReadTeam():
-                    self._tasks.start_soon(self._read_team, action.team)
+                    self._tasks.start_soon(
+                        self._read,
+                        settings_key(action.team),
+                        partial(self.relay.on_row, action.team),
+                    )
+
+    async def _list_teams(self) -> None:
+        """List the store's teams until it has answered once.
+
+        Teams that are made later are learnt from the index.
+        """
+        while self._store is not None:
+            try:
+                rows = await self._store.scan(SETTINGS_PREFIX)
+            except StoreUnavailableError:
+                await anyio.sleep(_LIST_RETRY_S)
+            else:
+                self._listed = tuple(team_of_key(row.key) for row in rows)
+                self._serve_wanted()
+                return
 
     async def _read_index(self, asked_at: float) -> None:
         await self._read(
@@ -153,12 +193,6 @@
             lambda row, now: self.relay.on_index(row, asked_at, now),
         )
 
-    async def _read_team(self, team: str) -> None:
-        await self._read(
-            settings_key(team),
-            lambda row, now: self.relay.on_row(team, row, now),
-        )
-
     async def _read(
         self,
         key: str,
@@ -192,17 +226,25 @@
             row.body,
             row.change_id,
         )
-        for link, teams in self._subscribers.items():
+        for link, teams in tuple(self._subscribers.items()):
             if action.team in teams:
                 self._tasks.start_soon(self._publish, link, update)
 
-    async def _publish(self, link: Link, update: SettingsUpdate) -> None:
+    async def _publish(self, link: Link, message: Any) -> None:
         try:
-            await link.send(update)
+            await link.send(message)
         except LinkClosedError:
             self._subscribers.pop(link, None)
 
     def _serve_wanted(self) -> None:
-        wanted = set(self._teams).union(*self._subscribers.values())
+        wanted = {*self._teams, *self._listed} - {EVERY_TEAM}
+        wanted.update(*self._subscribers.values())
         now = anyio.current_time()
-        self.relay.knowledge.serve_teams(wanted, now)
+        if self.relay.serves_all:
+            self.relay.knowledge.serve_also(wanted, now)
+        else:
+            self.relay.knowledge.serve_teams(wanted, now)
+
+
+def _get_name(peer: RelayPeer) -> str:
+    return peer.name
--- a/catkincrank/standins/faultmatrix.py
+++ b/catkincrank/standins/faultmatrix.py
@@ -12,7 +12,7 @@
 
 from catkincrank.invariants import check_history
 from catkincrank.standins import instancefaults  # noqa: F401
-from catkincrank.standins.faults import faults
+from catkincrank.standins.modelfaults import faults
 from catkincrank.standins.modelpath import Step, StepEvent
 from catkincrank.standins.recorder import StatementRecorder
 from catkincrank.standins.scenario import (
--- a/catkincrank/standins/instancefaults.py
+++ b/catkincrank/standins/instancefaults.py
@@ -3,7 +3,7 @@
 import anyio
 
 from catkincrank.records import LeavingChanged
-from catkincrank.standins.faults import faults, heal_later
+from catkincrank.standins.modelfaults import faults, heal_later
 from catkincrank.standins.scenario import Scenario
 
 __all__ = ()
--- a/tests/test_faults_request.py
+++ b/tests/test_faults_request.py
@@ -14,7 +14,7 @@
     list_cases,
     run_case,
 )
-from catkincrank.standins.faults import faults
+from catkincrank.standins.modelfaults import faults
 from catkincrank.verdict import Verdict
 from tests import virtualtime
 
