--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -32,6 +32,7 @@
         duty_keepers: Keepers that watch one group.
         proxies_per_node: Proxy processes on a VM.
         store_writes_per_change: Writes of the store for one change.
+        probe_bytes_per_s: A mean node's probes, by ``benchmarks.duty``.
     """
 
     nodes: int = 2100
@@ -44,6 +45,7 @@
     duty_keepers: int = 3
     proxies_per_node: int = 4
     store_writes_per_change: int = 3
+    probe_bytes_per_s: float = 1402
 
     @property
     def groups_served(self) -> float:
@@ -104,6 +106,13 @@
         grown = last.resident_mb - first.resident_mb
         return grown / (last.groups - first.groups)
 
+    @property
+    def private_per_group_mb(self) -> float:
+        """Private memory that one more watched group takes, in MB."""
+        first, last = self.keepers[0], self.keepers[-1]
+        grown = last.private_mb - first.private_mb
+        return grown / (last.groups - first.groups)
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -131,18 +140,21 @@
 def work_out(size: Size, slopes: Slopes) -> list[Figure]:
     """Return the figures at ``size``."""
     return [
-        *_settings_figures(slopes),
+        *_settings_figures(size, slopes),
         *_keeper_figures(size, slopes),
         *_proxy_figures(size, slopes),
+        *_sum_figures(size, slopes),
         *_store_figures(size, slopes),
     ]
 
 
-def _settings_figures(slopes: Slopes) -> list[Figure]:
+def _settings_figures(size: Size, slopes: Slopes) -> list[Figure]:
     relay = slopes.relay
     per_message = slopes.messages['SettingsDigest']
     exchange_us = 2 * (per_message.encode_us + per_message.decode_us)
-    cpu = (4 * slopes.relay_tick_us + exchange_us) * _MICROSECOND
+    pushes = 2 * size.changes_per_day / _DAY_S
+    steps_us = 4 * slopes.relay_tick_us + pushes * slopes.relay_push_us
+    cpu = (steps_us + exchange_us) * _MICROSECOND
     return [
         Figure('settings in force, slowest node', relay.longest_s, 11, 's'),
         Figure(
@@ -188,10 +200,33 @@
                 ),
             ),
         )
-    figures.append(Figure('keeper private', base.private_mb, 32, 'MB'))
+    private = base.private_mb
+    private += slopes.private_per_group_mb * size.groups_on_duty
+    figures.append(
+        Figure('keeper private, groups on duty', private, 32, 'MB'),
+    )
     return figures
 
 
+def _sum_figures(size: Size, slopes: Slopes) -> list[Figure]:
+    watched = slopes.bytes_per_group * size.groups_on_duty
+    others = size.probe_bytes_per_s + slopes.relay.mean_bytes_per_s
+    return [
+        Figure(
+            'probes and relay, mean node',
+            others / _KILOBYTE,
+            3,
+            'KB/s',
+        ),
+        Figure(
+            'all control, mean node',
+            (watched + others) / _KILOBYTE,
+            3,
+            'KB/s',
+        ),
+    ]
+
+
 def _proxy_figures(size: Size, slopes: Slopes) -> list[Figure]:
     statements = size.statements_per_s / size.nodes
     callers = size.connections / size.nodes
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -2,15 +2,17 @@
 
 ``python -m benchmarks.slopes`` writes docs/capacity.json and
 docs/capacity.svg. ``--quick`` leaves the largest fleet and keeper out and
-writes into results/ instead.
+writes into results/ instead. ``--reuse`` works the figures out anew from the
+slopes that are written down.
 """
 
 import argparse
 import platform
 import subprocess
 import sys
+from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, final
 
 import anyio
 import matplotlib as mpl
@@ -44,27 +46,61 @@
 _BOUND_STYLE = {'color': 'tab:red', 'linestyle': ':'}  # noqa: WPS407
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """Where a run was made.
+
+    Attributes:
+        processors: How many it has.
+        python: Version of the interpreter.
+        load_average: Load of the last minute, of everything that ran.
+    """
+
+    processors: int
+    python: str
+    load_average: float
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A run of the measurements.
+
+    Attributes:
+        machine: Where it was made.
+        commit: What was measured.
+        slopes: What came of it.
+    """
+
+    machine: Machine
+    commit: str
+    slopes: Slopes
+
+
 def main() -> None:
     """Measure, work out and write."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--quick', action='store_true')
-    is_quick = parser.parse_args().quick
+    parser.add_argument('--reuse', action='store_true')
+    chosen = parser.parse_args()
     logger.remove()
-    slopes = _measure(is_quick=is_quick)
-    figures = work_out(Size(), slopes)
-    folder = Path('results' if is_quick else 'docs')
+    folder = Path('results' if chosen.quick else 'docs')
     folder.mkdir(exist_ok=True)
-    _write(folder / 'capacity.json', slopes, figures)
-    _plot(folder / 'capacity.svg', slopes, figures)
+    path = folder / 'capacity.json'
+    run = _read(path) if chosen.reuse else _measure(is_quick=chosen.quick)
+    figures = work_out(Size(), run.slopes)
+    _write(path, run, figures)
+    _plot(folder / 'capacity.svg', run.slopes, figures)
     for figure in figures:
         sys.stdout.write('{0}\n'.format(_describe(figure)))
 
 
-def _measure(*, is_quick: bool) -> Slopes:
+def _measure(*, is_quick: bool) -> Run:
     keepers = _GROUPS[:2] if is_quick else _GROUPS
     fleets = _FLEETS[:2] if is_quick else _FLEETS
     tick_us, push_us = measure_relay_steps()
-    return Slopes(
+    slopes = Slopes(
         measure_messages(),
         measure_state(),
         tuple(anyio.run(measure_keeper, groups) for groups in keepers),
@@ -73,17 +109,21 @@
         tick_us,
         push_us,
     )
+    machine = Machine(
+        psutil.cpu_count() or 0,
+        platform.python_version(),
+        psutil.getloadavg()[0],
+    )
+    return Run(machine, _find_commit(), slopes)
+
+
+def _read(path: Path) -> Run:
+    return msgspec.json.decode(path.read_bytes(), type=Run)
 
 
-def _write(path: Path, slopes: Slopes, figures: list[Figure]) -> None:
+def _write(path: Path, run: Run, figures: list[Figure]) -> None:
     content = {
-        'machine': {
-            'processors': psutil.cpu_count(),
-            'python': platform.python_version(),
-            'load_average': psutil.getloadavg()[0],
-        },
-        'commit': _find_commit(),
-        'slopes': msgspec.to_builtins(slopes),
+        **msgspec.to_builtins(run),
         'figures': [
             {**msgspec.to_builtins(figure), 'share_of_bound': figure.share}
             for figure in figures
