--- a/catkincrank/assembly.py
+++ b/catkincrank/assembly.py
@@ -6,7 +6,9 @@
 from catkincrank.acknowledging import Acknowledger
 from catkincrank.answerwatch import AnswerWatch
 from catkincrank.catalog import Catalog
+from catkincrank.doubt import DoubtResolver
 from catkincrank.executor import Executor, Runners
+from catkincrank.housekeeping import KeyPruner
 from catkincrank.leases import Leases
 from catkincrank.news import News
 from catkincrank.pipeline import Pipeline
@@ -41,13 +43,22 @@
     reader = Reader(news, leases, retries, tally, zone)
     primaries = PrimaryFinder(news, leases, retries)
     acknowledger = Acknowledger(news)
-    writer = Writer(leases, primaries, acknowledger, retries, tally)
+    resolver = DoubtResolver(leases, primaries, acknowledger, retries)
+    writer = Writer(
+        leases,
+        primaries,
+        acknowledger,
+        resolver,
+        retries,
+        tally,
+    )
     transactions = Transactions(
         leases,
         reader,
         writer,
         primaries,
         acknowledger,
+        resolver,
         retries,
     )
     return Executor(
@@ -60,6 +71,7 @@
             transactions,
             primaries,
             retries,
+            KeyPruner(catalog, leases, primaries),
             tally,
         ),
     )
