Let what was sent before a close arrive before it in the model

Cause: an instance of the model that noticed a close within a cut dropped the statement that was still on its way, so late arrival was no longer modelled. Change: the end of a connection waits for statements that travel, unless the connection is silent for good.

--- a/catkincrank/standins/modelconnection.py
+++ b/catkincrank/standins/modelconnection.py
@@ -56,6 +56,7 @@
         self.incarnation = server.instance.incarnation
         self.is_silent = False
         self._number = next(_numbers)
+        self._travelling = 0
         self._server = server
         self._path = path
         self._side = ServerSide(server.instance)
@@ -161,11 +162,14 @@
 
     async def _serve(self, event: StepEvent, reply: '_Reply') -> None:
         """Bring a statement to the instance and its answer back."""
+        self._travelling += 1
         await self._arrive(event)
+        self._travelling -= 1
         async with self._side.busy:
             if not self._is_open:
                 return
             await self._work(reply)
+        self._path.wake()
         await self._path.step(event, Step.RAN)
         await self._path.cross(self)
         await self._server.instance.wait_running()
@@ -191,6 +195,9 @@
     async def _leave(self) -> None:
         if self._path.is_cut or self.is_silent:
             await anyio.sleep(_NOTICE_S)
+        while self._travelling and not self.is_silent:
+            # What was sent before the end arrives before it.
+            await self._path.changed()
         async with self._side.busy:
             if self._is_open:
                 self.reset()
