--- a/benchmarks/relayfleet.py
+++ b/benchmarks/relayfleet.py
@@ -231,7 +231,7 @@
         if isinstance(context, str):
             self._act(name, relay.on_row(context, row, self.now))
         else:
-            self._act(name, relay.on_index(row, context, self.now))
+            self._act(name, relay.on_index(context, row, self.now))
 
     def _later(
         self,
--- a/catkincrank/relay.py
+++ b/catkincrank/relay.py
@@ -86,8 +86,8 @@
 
     def on_index(
         self,
-        row: Row | None,
         asked_at: float,
+        row: Row | None,
         now: float,
     ) -> list[Action]:
         """Take in the store's index; an older one than known is passed over."""
--- a/catkincrank/relayservice.py
+++ b/catkincrank/relayservice.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from typing import Any, final
 
@@ -30,17 +31,32 @@
 from catkincrank.store import Row, Store
 from catkincrank.subtree import SETTINGS_PREFIX, settings_key, team_of_key
 
-__all__ = ('EVERY_TEAM', 'RelayService')
+__all__ = ('EVERY_TEAM', 'RelayService', 'Subscriber')
 
 EVERY_TEAM = '*'
 
 _TICK_S = 0.25
 _PEERS_INTERVAL_S = 1.0
 _LIST_RETRY_S = 1.0
+_SILENCE_LIMIT_S = 15.0
 _LIVE_STATES = frozenset((PeerState.LISTED, PeerState.ALIVE))
 _PROXY = 'proxy'
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Subscriber:
+    """A proxy that follows this keeper's settings.
+
+    Attributes:
+        teams: Teams that it serves.
+        heard_at: When it asked last; proxies ask every few seconds.
+    """
+
+    teams: tuple[str, ...]
+    heard_at: float
+
+
 @final
 class RelayService:
     """A keeper's part in the spread of settings.
@@ -66,7 +82,7 @@
         self._recorder = Recorder(keeper.journal)
         self._peers: frozenset[RelayPeer] = frozenset()
         self._peers_due_at = float('-inf')
-        self._subscribers: dict[Link, tuple[str, ...]] = {}
+        self._subscribers: dict[Link, Subscriber] = {}
         self.relay = Relay(
             RelayPeer(options.name, options.zone),
             random.Random(keeper.incarnation),
@@ -93,6 +109,7 @@
             self._tasks.start_soon(self._list_teams)
         while True:
             self._follow_membership()
+            self._forget_silent()
             self._act(self.relay.tick(anyio.current_time()))
             await anyio.sleep(_TICK_S)
 
@@ -115,6 +132,16 @@
             self._peers = peers
             self.relay.roster.replace(sorted(peers, key=_get_name))
 
+    def _forget_silent(self) -> None:
+        oldest = anyio.current_time() - _SILENCE_LIMIT_S
+        silent = [
+            link
+            for link, subscriber in self._subscribers.items()
+            if subscriber.heard_at < oldest
+        ]
+        for link in silent:
+            self._subscribers.pop(link)
+
     def _register(self) -> None:
         handle = self._keeper.dispatcher.handle
         handle(SettingsRequest)(self._on_request)
@@ -125,7 +152,10 @@
     async def _on_request(self, peer: Peer, request: SettingsRequest) -> None:
         if peer.hello.role == _PROXY:
             teams = tuple(known.team for known in request.known)
-            self._subscribers[peer.link] = teams
+            self._subscribers[peer.link] = Subscriber(
+                teams,
+                anyio.current_time(),
+            )
             self._serve_wanted()
             for update in self.relay.knowledge.answer(request):
                 if update.body:
@@ -164,7 +194,11 @@
                 case Enforce():
                     self._enforce(action)
                 case ReadIndex():
-                    self._tasks.start_soon(self._read_index, action.asked_at)
+                    self._tasks.start_soon(
+                        self._read,
+                        INDEX_KEY,
+                        partial(self.relay.on_index, action.asked_at),
+                    )
                 case ReadTeam():
                     self._tasks.start_soon(
                         self._read,
@@ -187,12 +221,6 @@
                 self._serve_wanted()
                 return
 
-    async def _read_index(self, asked_at: float) -> None:
-        await self._read(
-            INDEX_KEY,
-            lambda row, now: self.relay.on_index(row, asked_at, now),
-        )
-
     async def _read(
         self,
         key: str,
@@ -226,8 +254,8 @@
             row.body,
             row.change_id,
         )
-        for link, teams in tuple(self._subscribers.items()):
-            if action.team in teams:
+        for link, subscriber in tuple(self._subscribers.items()):
+            if action.team in subscriber.teams:
                 self._tasks.start_soon(self._publish, link, update)
 
     async def _publish(self, link: Link, message: Any) -> None:
@@ -238,7 +266,8 @@
 
     def _serve_wanted(self) -> None:
         wanted = {*self._teams, *self._listed} - {EVERY_TEAM}
-        wanted.update(*self._subscribers.values())
+        for subscriber in self._subscribers.values():
+            wanted.update(subscriber.teams)
         now = anyio.current_time()
         if self.relay.serves_all:
             self.relay.knowledge.serve_also(wanted, now)
--- a/catkincrank/statedump.py
+++ b/catkincrank/statedump.py
@@ -1,12 +1,13 @@
 """State dumps: what a process believes, why, and since when."""
 
 import os
+import time
 from collections.abc import Iterable
+from pathlib import Path
 from typing import Any, Protocol
 
 import anyio
 import msgspec
-import psutil
 
 from catkincrank.feed import Feed
 from catkincrank.instance import Observation
@@ -32,13 +33,12 @@
     settings: SettingsReport,
 ) -> dict[str, Any]:
     """Return the state that daemons of every role show."""
-    usage = psutil.Process(os.getpid())
     return {
         'name': source.journal.source,
         'role': role,
-        'process_id': usage.pid,
-        'resident_bytes': usage.memory_info().rss,
-        'cpu_s': sum(usage.cpu_times()[:2]),
+        'process_id': os.getpid(),
+        'resident_bytes': _read_resident_bytes(),
+        'cpu_s': time.process_time(),
         'obstacles': settings.list_obstacles(),
         'settings': msgspec.to_builtins(settings),
         'groups': dump_groups(source.feed, source.list_groups()),
@@ -58,6 +58,11 @@
     }
 
 
+def _read_resident_bytes() -> int:
+    pages = Path('/proc/self/statm').read_text().split()[1]
+    return int(pages) * os.sysconf('SC_PAGE_SIZE')
+
+
 def _dump_observation(seen: Observation, now: float) -> dict[str, Any]:
     status = seen.status
     return {
