Answer a writer that asks for what it has just pushed

`settings apply` said that no keeper answered when the keeper was fetching the new team at that moment. Only a node that fetches from nothing itself must not be answered then.

--- a/catkincrank/relayknowledge.py
+++ b/catkincrank/relayknowledge.py
@@ -154,13 +154,14 @@
     def answer(self, request: SettingsRequest) -> tuple[SettingsUpdate, ...]:
         """Return what the sender of ``request`` lacks.
 
-        A node that has not finished its own fetch of a team says nothing, lest
-        two new processes confirm each other's stale answer of the store.
+        A node that has not finished its own fetch of a team says nothing to one
+        that fetches it too, lest two new processes confirm each other's stale
+        answer of the store.
         """
         return tuple(
             self._make_update(known)
             for known in request.known
-            if known.team not in self.loads
+            if known.version or known.team not in self.loads
         )
 
     def make_delta(self, digest: SettingsDigest, now: float) -> SettingsDelta:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -177,6 +177,10 @@
     relay.on_row('t', Row('settings/t', 1, b'{}', 'c1'), 0)
     asked = SettingsRequest((TeamVersion('t', 0),))
     assert relay.on_message('n1', asked, 0.5) == []
+    relay.on_message('writer', push(0, 2), 0.5)
+    asked = SettingsRequest((TeamVersion('t', 2),))
+    held = SettingsUpdate('t', 2, b'', '')
+    assert Send('writer', held) in relay.on_message('writer', asked, 0.5)
 
 
 def test_digest_behind_the_senders_is_answered_and_returned():
