Give a rival's attempt room, and mend by promises alone

Cause: with the bounded policy keepers overtook one another during the promotion delay; the matrix showed gaps of 16 to 20 s and groups without a primary. A keeper whose partner died meanwhile lacked a second zone. Change: a keeper leaves a rival's newest ballot 0.7 s and the delay; sealed instances that leave too few to acknowledge need no confirmation. Suspicions are journalled when due, not when first seen.

--- a/catkincrank/supervision.py
+++ b/catkincrank/supervision.py
@@ -23,6 +23,7 @@
 from catkincrank.outcomes import Outcomes
 from catkincrank.quorum import count_seal_quorum
 from catkincrank.repair import Repair
+from catkincrank.rivalry import Rivalry
 from catkincrank.sightings import Sightings
 from catkincrank.suspicion import ClockGuard
 from catkincrank.trouble import Trouble
@@ -97,9 +98,11 @@
         self._guard = ClockGuard(now)
         self._repair = Repair(options.rank)
         self._outcomes = Outcomes()
+        self._rivalry = Rivalry(options.keeper, options.validity_s)
         self._highest_term = 0
         self._idle_until = now
         self._has_waited = False
+        self._is_noted = False
 
     @property
     def is_busy(self) -> bool:
@@ -170,22 +173,9 @@
         self.trouble = found
         self._confirmation.reset()
         self._has_waited = False
-        return self._note_trouble(before, now)
-
-    def _note_trouble(
-        self,
-        before: Trouble | None,
-        now: float,
-    ) -> list[Action]:
-        if self.trouble is not None:
-            note = Note(
-                'suspicion',
-                self.trouble.kind.value,
-                'suspected: {0}'.format(self.trouble.endpoint or 'no primary'),
-                self.sightings.describe(now),
-            )
-            return [note, ReadClaim()]
-        if before is None:
+        was_noted = self._is_noted
+        self._is_noted = False
+        if before is None or found is not None or not was_noted:
             return []
         note = Note(
             'suspicion_cleared',
@@ -195,10 +185,22 @@
         )
         return [note]
 
+    def _note_trouble(self, trouble: Trouble, now: float) -> list[Action]:
+        if self._is_noted:
+            return []
+        self._is_noted = True
+        note = Note(
+            'suspicion',
+            trouble.kind.value,
+            'suspected: {0}'.format(trouble.endpoint or 'no primary'),
+            self.sightings.describe(now),
+        )
+        return [note, ReadClaim()]
+
     def _consider(self, trouble: Trouble, now: float) -> list[Action]:
         if now < trouble.due_at:
             return []
-        actions: list[Action] = []
+        actions = self._note_trouble(trouble, now)
         is_needed = trouble.kind.needs_confirmation
         if is_needed and self._confirmation.is_report_due(now):
             actions.append(Report(trouble.endpoint, now - trouble.since))
@@ -210,7 +212,8 @@
             return actions
         confirmed_at = self._confirmation.confirmed_at
         due_at = confirmed_at + _RANK_DELAY_S * self.options.rank
-        if now < max(due_at, self._idle_until):
+        is_open = self._rivalry.is_open(self.sightings.statuses, now)
+        if now < max(due_at, self._idle_until) or not is_open:
             return actions
         if self._can_begin(now):
             return actions + self._begin(trouble, now)
--- a/catkincrank/trouble.py
+++ b/catkincrank/trouble.py
@@ -76,6 +76,9 @@
         return None
     name = find_primary(statuses)
     primary = statuses.get(name)
+    seals = _find_seals(members, statuses, primary, now)
+    if seals is not None and seals.kind is TroubleKind.UNFINISHED:
+        return seals
     suspicion = suspicions.get(name)
     if suspicion is not None:
         silence_s = suspicion.silence_s(now)
@@ -85,15 +88,17 @@
             return None
     if primary is None or primary.role is Role.REPLICA:
         return Trouble(TroubleKind.MISSING, '', now, now + SUSPICION_S)
-    return _find_seals(members, statuses, primary, now)
+    return seals
 
 
 def _find_seals(
     members: Sequence[str],
     statuses: Mapping[str, InstanceStatus],
-    primary: InstanceStatus,
+    primary: InstanceStatus | None,
     now: float,
 ) -> Trouble | None:
+    if primary is None or primary.role is Role.REPLICA:
+        return None
     sealed = [
         status
         for status in statuses.values()
