--- a/catkincrank/callerconnection.py
+++ b/catkincrank/callerconnection.py
@@ -134,7 +134,10 @@
     async def end(self, error: PgError) -> None:
         """Tell the caller why its connection ends, and end it."""
         self.stream.write(messages.make_error_response(fatal_fields(error)))
-        await self.stream.drain()
+        try:
+            await self.stream.drain()
+        except OSError:
+            return
         await self.stream.close()
 
     async def _authenticate(self) -> bool:
