Keep reads off an instance that fails them in a row

The breaker of decisions was not asked by the data path, so each read tried a failing replica first and went on to the next. A connection of the right incarnation that may not serve a read is kept instead of closed. The new test fails with the breaker's answer left out.

--- a/catkincrank/reading.py
+++ b/catkincrank/reading.py
@@ -1,13 +1,16 @@
 """Runs reads outside transactions, on any instance that may serve them."""
 
+from collections import defaultdict
 from typing import final
 
 import anyio
 
+from catkincrank.breaker import GroupBreaker
 from catkincrank.endpoint import Answer, StatementError
 from catkincrank.errors import EndpointError
 from catkincrank.history import Containment
 from catkincrank.leases import Lease, Leases
+from catkincrank.logs import log_event
 from catkincrank.news import News
 from catkincrank.request import Access, Progress, Request
 from catkincrank.retrying import Retries
@@ -41,7 +44,15 @@
         zone: Availability zone of the proxy.
     """
 
-    __slots__ = ('_feed', '_leases', '_news', '_retries', '_tally', '_zone')
+    __slots__ = (
+        '_breakers',
+        '_feed',
+        '_leases',
+        '_news',
+        '_retries',
+        '_tally',
+        '_zone',
+    )
 
     def __init__(
         self,
@@ -57,6 +68,9 @@
         self._retries = retries
         self._tally = tally
         self._zone = zone
+        self._breakers: defaultdict[str, GroupBreaker] = defaultdict(
+            GroupBreaker,
+        )
 
     async def run(self, session: Session, request: Request) -> Answer:
         """Run a read; try another instance when one fails it."""
@@ -73,6 +87,7 @@
                 if error.sqlstate not in _UNAVAILABLE_STATES:
                     raise
                 failure = _explain(error)
+            self._note_failure(request.group, lease.endpoint)
             excluded.add(lease.endpoint)
             attempt += 1
             await self._retries.pause(request, attempt, failure)
@@ -95,9 +110,10 @@
         """
         while True:
             revision = self._feed.revision(request.group)
-            wanted = self._describe(session, request, excluded)
             loads = self._leases.pools.loads(request.group)
             now = anyio.current_time()
+            ejected = self._breakers[request.group].ejected(loads, now)
+            wanted = self._describe(session, request, ejected | excluded)
             choice = choose_read(wanted, self._feed, loads, now)
             if isinstance(choice, Lost):
                 raise _explain_loss(choice)
@@ -129,6 +145,8 @@
             await leases.release(lease)
             raise
         await leases.release(lease)
+        now = anyio.current_time()
+        self._breakers[request.group].note_success(lease.endpoint, now)
         self._tally.count_served(request.group, Access.READ, lease.endpoint)
         return answer
 
@@ -141,13 +159,29 @@
         try:
             lease = await self._leases.acquire(request, endpoint)
         except EndpointError:
+            self._note_failure(request.group, endpoint)
             return None
         incarnation = lease.connection.incarnation
         if admits_read(wanted, self._feed, endpoint, incarnation):
             return lease
-        self._leases.discard(lease)
+        observation = self._feed.observations(request.group).get(endpoint)
+        if observation and observation.status.incarnation == incarnation:
+            await self._leases.release(lease)
+        else:
+            self._leases.discard(lease)
         return None
 
+    def _note_failure(self, group: str, endpoint: str) -> None:
+        """Count a failure; enough of them put the endpoint out of use."""
+        now = anyio.current_time()
+        if self._breakers[group].note_failure(endpoint, now):
+            log_event(
+                'endpoint_ejected',
+                'WARNING',
+                group=group,
+                endpoint=endpoint,
+            )
+
     async def _await_news(self, wanted: ReadRequest, revision: int) -> None:
         if not self._is_ahead(wanted):
             await self._news.wait(wanted.group, revision)
@@ -173,7 +207,7 @@
         self,
         session: Session,
         request: Request,
-        excluded: set[str],
+        excluded: frozenset[str],
     ) -> ReadRequest:
         return ReadRequest(
             request.group,
@@ -181,7 +215,7 @@
             request.max_staleness_s,
             self._zone,
             request.arrived_at,
-            frozenset(excluded),
+            excluded,
         )
 
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -337,6 +337,22 @@
     play(scenario)
 
 
+def test_failing_replica_is_put_out_of_use():
+    async def scenario(group, executor):
+        session = open_session(max_staleness='own_writes')
+        for _ in range(3):
+            group.faults = {'select': 'lose'}
+            assert await submit(executor, session, 'select 1') == 'SELECT 1'
+        group.steps.clear()
+        for _ in range(3):
+            assert await submit(executor, session, 'select 1') == 'SELECT 1'
+        assert {name for _, name in group.steps} == {'c'}
+        await anyio.sleep(10)
+        assert await submit(executor, session, 'select 1') == 'SELECT 1'
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     ('texts', 'verdict'),
     [([PAY], NOT_RUN), (['begin', 'select 1', PAY], NOT_RUN)],
