Keep one reader on an endpoint's socket

Cause: each wait for an answer added and removed the socket at the event loop, two system calls and several objects for each statement. Change: the reader stays while the connection is in use and goes away when the other end sends something unasked.

--- a/catkincrank/endpoints/libpq.py
+++ b/catkincrank/endpoints/libpq.py
@@ -19,6 +19,7 @@
     StatementError,
     TransactionStatus,
 )
+from catkincrank.endpoints.readiness import Readiness
 from catkincrank.errors import EndpointError
 
 __all__ = (
@@ -92,14 +93,17 @@
         raise EndpointError(reason, was_sent=False) from None
 
 
-async def fetch_results(pgconn: pq.abc.PGconn) -> list[pq.abc.PGresult]:
+async def fetch_results(
+    pgconn: pq.abc.PGconn,
+    readiness: Readiness,
+) -> list[pq.abc.PGresult]:
     """Flush what was queued and wait for one statement's results.
 
     Raises:
         EndpointError: The connection broke.
     """
     try:
-        return await _drive(generators.execute(pgconn), pgconn.socket)
+        return await _drive(generators.execute(pgconn), readiness)
     except (Error, OSError) as error:
         raise EndpointError(str(error).strip(), was_sent=True) from None
 
@@ -240,11 +244,14 @@
         connecting.close()
 
 
-async def _drive(running: Generator[Any, Any, Any], descriptor: int) -> Any:
+async def _drive(
+    running: Generator[Any, Any, Any],
+    readiness: Readiness,
+) -> Any:
     try:
         wait = next(running)
         while True:
-            ready = await _wait_ready(descriptor, wait)
+            ready = await readiness.wait(wait)
             wait = running.send(ready)
     except StopIteration as finished:
         return finished.value
--- a/catkincrank/endpoints/postgres.py
+++ b/catkincrank/endpoints/postgres.py
@@ -26,6 +26,7 @@
     format_upstream,
     quote_literal,
 )
+from catkincrank.endpoints.readiness import Readiness
 from catkincrank.endpoints.status import read_status
 from catkincrank.errors import EndpointError
 from catkincrank.history import LogMark
@@ -59,6 +60,7 @@
     ) -> None:
         self.incarnation = incarnation
         self._pgconn = pgconn
+        self._readiness = Readiness(pgconn.socket)
         self._endpoint = endpoint
         self._descriptions: OrderedDict[str, Description] = OrderedDict()
 
@@ -70,7 +72,7 @@
         """Run one statement; see the base class."""
         libpq.check_connection(self._pgconn)
         libpq.send_statement(self._pgconn, sql, params)
-        results = await libpq.fetch_results(self._pgconn)
+        results = await libpq.fetch_results(self._pgconn, self._readiness)
         return libpq.read_answer(self._pgconn, results[-1])
 
     async def describe(self, sql: str) -> Description:
@@ -156,6 +158,7 @@
 
     async def close(self) -> None:
         """Close without waiting for the endpoint."""
+        self._readiness.close()
         self._pgconn.finish()
 
     @property
@@ -166,16 +169,16 @@
     async def _describe_new(self, sql: str) -> Description:
         libpq.check_connection(self._pgconn)
         self._pgconn.send_prepare(b'', sql.encode('utf-8'))
-        results = await libpq.fetch_results(self._pgconn)
+        results = await libpq.fetch_results(self._pgconn, self._readiness)
         libpq.read_answer(self._pgconn, results[-1])
         self._pgconn.send_describe_prepared(b'')
-        results = await libpq.fetch_results(self._pgconn)
+        results = await libpq.fetch_results(self._pgconn, self._readiness)
         return libpq.read_description(self._pgconn, results[-1])
 
     async def _fetch_pair(self) -> tuple[Answer, Answer]:
-        first = await libpq.fetch_results(self._pgconn)
-        second = await libpq.fetch_results(self._pgconn)
-        await libpq.fetch_results(self._pgconn)
+        first = await libpq.fetch_results(self._pgconn, self._readiness)
+        second = await libpq.fetch_results(self._pgconn, self._readiness)
+        await libpq.fetch_results(self._pgconn, self._readiness)
         self._pgconn.exit_pipeline_mode()
         return (
             libpq.read_answer(self._pgconn, first[-1]),
@@ -236,7 +239,7 @@
         try:
             answer = await connection.execute(statements.INCARNATION)
         except BaseException:
-            pgconn.finish()
+            await connection.close()
             raise
         connection.incarnation = answer.rows[0][0] or ''
         return connection
--- a/catkincrank/load/connection.py
+++ b/catkincrank/load/connection.py
@@ -9,6 +9,7 @@
 
 from catkincrank.endpoint import Answer, StatementError
 from catkincrank.endpoints import libpq
+from catkincrank.endpoints.readiness import Readiness
 from catkincrank.errors import EndpointError
 from catkincrank.verdict import Verdict
 
@@ -58,6 +59,7 @@
     def __init__(self, pgconn: pq.abc.PGconn, target: Target) -> None:
         self.target = target
         self._pgconn = pgconn
+        self._readiness = Readiness(pgconn.socket)
 
     @classmethod
     async def open(
@@ -93,7 +95,7 @@
         """Run one statement."""
         libpq.check_connection(self._pgconn)
         libpq.send_statement(self._pgconn, sql, params)
-        results = await libpq.fetch_results(self._pgconn)
+        results = await libpq.fetch_results(self._pgconn, self._readiness)
         return libpq.read_answer(self._pgconn, results[-1])
 
     async def show(self, name: str) -> str:
@@ -119,6 +121,7 @@
 
     def close(self) -> None:
         """Close at once."""
+        self._readiness.close()
         self._pgconn.finish()
 
 
