--- a/catkincrank/endpoints/postgres.py
+++ b/catkincrank/endpoints/postgres.py
@@ -35,8 +35,6 @@
 __all__ = ('PostgresConnection', 'PostgresDriver')
 
 _DESCRIPTIONS_KEPT = 512
-_TCP_TIMEOUT_MS = 5000
-_KEEPALIVE_S = 5
 _RECEIVER_POLL_S = 0.02
 _RECEIVER_POLLS = 100
 _ROLLED_BACK = 'ROLLBACK'
@@ -232,9 +230,6 @@
             password=credential.password,
             dbname=credential.database,
             application_name=application,
-            tcp_user_timeout=_TCP_TIMEOUT_MS,
-            keepalives_idle=_KEEPALIVE_S,
-            keepalives_interval=_KEEPALIVE_S,
             sslmode='disable',
             gssencmode='disable',
             keepalives_idle=_KEEPALIVE_IDLE_S,
