Keep an old primary read-only when it is told to follow

Cause: follow() lifted the read-only setting of a sealed primary, which took writes again until its rebuild as a replica. Found by reading; it breaks "an old primary that returns is never written to". Change: follow() leaves the setting; a promotion lifts it. The model's keeper lets another instance copy the log of a fuller old primary, which it could not promote again.

--- a/catkincrank/endpoints/postgres.py
+++ b/catkincrank/endpoints/postgres.py
@@ -151,7 +151,6 @@
                 await _execute_all(
                     self,
                     _configure(Upstream(primary, ballot)),
-                    statements.READ_ONLY_OFF,
                     statements.RELOAD,
                 )
         return await self.fetch_status()
--- a/catkincrank/standins/modelkeeper.py
+++ b/catkincrank/standins/modelkeeper.py
@@ -18,6 +18,7 @@
 _POLL_INTERVAL_S = 0.1
 _ANSWER_LIMIT_S = 0.3
 _SUSPICION_S = 1
+_COPY_S = 0.5
 _LOGIN = Credential('keeper', '', 'postgres')
 _APPLICATION = 'catkincrank-keeper'
 
@@ -66,17 +67,35 @@
             for status in await self._ask_all('seal', ballot)
             if status.sealed == ballot
         ]
-        majority = len(self._model.servers) // 2 + 1
-        # A primary cannot be promoted again; any majority is as good.
-        able = [one for one in sealed if one.role is Role.REPLICA]
-        if len(able) < majority:
+        if len(sealed) <= len(self._model.servers) // 2:
+            return
+        best = max(sealed, key=_rank)
+        if best.role is Role.PRIMARY:
+            # It cannot be promoted again: another one copies its log first.
+            await self._copy_log(best, sealed, ballot)
             return
         await anyio.sleep(self._delay_s)
-        best = max(able, key=_rank)
         self.promoted_at[ballot.term] = anyio.current_time()
         await self._ask(best.endpoint, 'promote', ballot)
         self.is_forced = False
 
+    async def _copy_log(
+        self,
+        source: InstanceStatus,
+        sealed: list[InstanceStatus],
+        ballot: Ballot,
+    ) -> None:
+        address = self._model.addresses()[source.endpoint]
+        for status in sealed:
+            if status.endpoint != source.endpoint:
+                await self._ask(  # noqa: WPS476
+                    status.endpoint,
+                    'follow',
+                    address,
+                    ballot,
+                )
+        await anyio.sleep(_COPY_S)
+
     async def _lead_followers(
         self,
         primary: InstanceStatus,
@@ -154,5 +173,6 @@
     return max(status.term, status.sealed.term if status.sealed else 0)
 
 
-def _rank(status: InstanceStatus) -> tuple[int, int]:
-    return (status.term, status.received)
+def _rank(status: InstanceStatus) -> tuple[int, int, bool]:
+    """Prefer the fullest; among equals, a replica."""
+    return (status.term, status.received, status.role is Role.REPLICA)
--- a/tests/test_postgres.py
+++ b/tests/test_postgres.py
@@ -112,6 +112,9 @@
             with pytest.raises(EndpointError):
                 await a.execute('select 1')
             await keepers[0].follow(address, ballot)
+            late = await connect(group, 'a')
+            with pytest.raises((StatementError, EndpointError)):
+                await late.execute("insert into loans values (3, 3, 'late')")
             with anyio.fail_after(10):
                 while group.instances()[0].role is Role.PRIMARY:
                     await anyio.sleep(0.01)
