--- a/catkincrank/callerconnection.py
+++ b/catkincrank/callerconnection.py
@@ -1,5 +1,6 @@
 """One caller's connection: messages in, whole answers out, in order."""
 
+import contextlib
 import struct
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, Any, final
