--- a/catkincrank/callerconnection.py
+++ b/catkincrank/callerconnection.py
@@ -1,6 +1,5 @@
 """One caller's connection: messages in, whole answers out, in order."""
 
-import contextlib
 import struct
 from collections.abc import Sequence
 from typing import TYPE_CHECKING, Any, final
@@ -135,9 +134,11 @@
     async def end(self, error: PgError) -> None:
         """Tell the caller why its connection ends, and end it."""
         self.stream.write(messages.make_error_response(fatal_fields(error)))
-        with contextlib.suppress(ConnectionError):
+        try:
             await self.stream.drain()
-            await self.stream.close()
+        except OSError:
+            return
+        await self.stream.close()
 
     async def _authenticate(self) -> bool:
         password = self.server.find_password(self.state.group)
