Test that an announcement that was refused blocks no new process

A trial that mutated seven decisions in a scratch copy had six turned red by the fault matrix; taking an announced version for an accepted one was not. A new process now starts beside such an announcement in the test, which fails under that mutation as well.

--- a/tests/test_faults_settings.py
+++ b/tests/test_faults_settings.py
@@ -237,6 +237,10 @@
 def test_refused_change_that_was_announced_is_given_up():
     run = Run(5)
     run.fleet.table.announce(TEAM, 2)
+    run.fleet.run(BOUND_S)
+    run.replace('pokhara-1')
+    run.fleet.run(BOUND_S)
+    assert run.fleet.version_at('pokhara-1', TEAM) == 1
     run.fleet.run(700)
     relay = run.fleet.relays['kathmandu-1']
     assert not relay.knowledge.list_unknown()
