Show that a caller's end cuts its statement off at once

A mutant whose session did not cancel the statement stayed green, since the deadline ended it later with the same verdict. The test now bounds the time in virtual seconds and fails on that mutant.

--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -365,7 +365,9 @@
         group.faults = {'pay': 'hang'}
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(_cancel_later, session)
+            began = anyio.current_time()
             assert await submit(executor, session, *texts) == verdict
+            assert anyio.current_time() - began < 2
         await executor.close(session)
         await anyio.sleep(1)
         assert group.open == []
