End a drain that ran out of time with verdicts

At the end of drain_limit_s the connections left were dropped, so callers could not tell whether their statement ran.

--- a/catkincrank/executor.py
+++ b/catkincrank/executor.py
@@ -288,9 +288,7 @@
 def _explain_cut(session: Session, request: Request) -> RequestError:
     verdict = request.verdict
     is_safe = verdict is Verdict.NOT_RUN
-    cause = 'the deadline passed'
-    if session.is_cancelled:
-        cause = "canceled at the caller's request"
+    cause = session.cut_cause or 'the deadline passed'
     return RequestError(
         verdict,
         Reason.DEADLINE if is_safe else Reason.OUTCOME_UNKNOWN,
--- a/catkincrank/frontend.py
+++ b/catkincrank/frontend.py
@@ -30,6 +30,8 @@
 _SECRET_BYTES = 4
 _DRAIN_HINT_S = 0
 _EXPIRY_INTERVAL_S = 1
+_CUT_GRACE_S = 0.5
+_CUT_CAUSE = 'the time that the proxy had to drain is over'
 _UNKNOWN_HINT_S = 1
 
 
@@ -111,6 +113,15 @@
         for connection in self.connections:
             await self.end_if_idle(connection)  # noqa: WPS476
 
+    async def cut(self) -> None:
+        """End every connection, each with a verdict on what it had."""
+        for connection in self.connections:
+            connection.state.cancel(_CUT_CAUSE)
+        await anyio.sleep(_CUT_GRACE_S)
+        for connection in self.connections:
+            error = self._explain_drain(connection.state)
+            await connection.end(error)  # noqa: WPS476
+
     async def expire_idle(self) -> None:
         """Roll back transactions that callers have left open, for ever."""
         while True:
--- a/catkincrank/proxy.py
+++ b/catkincrank/proxy.py
@@ -157,7 +157,10 @@
         with anyio.move_on_after(self.options.drain_limit_s):
             while self.server.connections:
                 await anyio.sleep(_DRAIN_POLL_S)
-        self._record_drain('ended', self.list_pending())
+        pending = self.list_pending()
+        if pending:
+            await self.server.cut()
+        self._record_drain('cut' if pending else 'ended', pending)
 
     def _record_drain(self, outcome: str, pending: list[str]) -> None:
         evidence = {'waits_for': str(len(pending))}
--- a/catkincrank/session.py
+++ b/catkincrank/session.py
@@ -16,6 +16,8 @@
 
 __all__ = ('Session',)
 
+_CANCELLED = "canceled at the caller's request"
+
 
 @final
 class Session:
@@ -28,7 +30,7 @@
     __slots__ = (
         '_scope',
         'group',
-        'is_cancelled',
+        'cut_cause',
         'left_at',
         'mark',
         'options',
@@ -42,7 +44,7 @@
         self.mark: LogMark | None = None
         self.transaction: Transaction | None = None
         self.settings: dict[str, str] = {}
-        self.is_cancelled = False
+        self.cut_cause = ''
         self.left_at: float = 0
         self._scope: anyio.CancelScope | None = None
 
@@ -111,7 +113,7 @@
 
     def limit(self, deadline: float) -> anyio.CancelScope:
         """Return the scope of a statement that may run until ``deadline``."""
-        self.is_cancelled = False
+        self.cut_cause = ''
         self._scope = anyio.CancelScope(deadline=deadline)
         return self._scope
 
@@ -121,8 +123,8 @@
         if self.transaction is not None:
             self.left_at = anyio.current_time()
 
-    def cancel(self) -> None:
+    def cancel(self, cause: str = _CANCELLED) -> None:
         """Cut off the statement that runs now, if any."""
         if self._scope is not None:
-            self.is_cancelled = True
+            self.cut_cause = cause
             self._scope.cancel()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -57,6 +57,28 @@
     assert found == 2
 
 
+async def _drain_in_vain(deployment):
+    """What is left at the end of a drain is cut with its verdict."""
+    caller = await asyncpg.connect(**deployment.address())
+    deployment.group.freeze('a')
+    verdicts = []
+    async with anyio.create_task_group() as tasks:
+
+        async def pay():
+            with pytest.raises(asyncpg.QueryCanceledError) as caught:
+                await caller.execute(CREATE)
+            verdicts.append((caught.value.detail, str(caught.value)))
+
+        tasks.start_soon(pay)
+        (connection,) = deployment.proxies[0].server.connections
+        await wait_until(lambda: connection.state.is_busy)
+        deployment.proxies[0].request_drain()
+    deployment.group.resume('a')
+    ((detail, message),) = verdicts
+    assert detail == 'verdict: not run'
+    assert 'drain' in message
+
+
 async def _lose_caller(deployment):
     """A caller's death ends its transaction and frees its row locks."""
     proxy = deployment.proxies[0]
@@ -181,5 +203,9 @@
         second.request_drain()
 
 
+def test_drain_has_a_limit():
+    run(_drain_in_vain, drain_limit_s=0.2)
+
+
 def test_shared_port():
     run(_share_port)
