--- a/catkincrank/endpoints/postgres.py
+++ b/catkincrank/endpoints/postgres.py
@@ -26,6 +26,7 @@
     format_upstream,
     quote_literal,
 )
+from catkincrank.endpoints.readiness import Readiness
 from catkincrank.endpoints.status import has_receiver, read_status
 from catkincrank.errors import EndpointError
 from catkincrank.history import LogMark
@@ -62,6 +63,7 @@
     ) -> None:
         self.incarnation = incarnation
         self._pgconn = pgconn
+        self._readiness = Readiness(pgconn.socket)
         self._endpoint = endpoint
         self._has_status = False
         self._descriptions: OrderedDict[str, Description] = OrderedDict()
@@ -74,7 +76,7 @@
         """Run one statement; see the base class."""
         libpq.check_connection(self._pgconn)
         libpq.send_statement(self._pgconn, sql, params)
-        return await libpq.fetch_answer(self._pgconn)
+        return await libpq.fetch_answer(self._pgconn, self._readiness)
 
     async def describe(self, sql: str) -> Description:
         """Return the shape of a statement; shapes are kept per connection."""
@@ -161,6 +163,7 @@
 
     async def close(self) -> None:
         """Close without waiting for the endpoint."""
+        self._readiness.close()
         self._pgconn.finish()
 
     @property
@@ -173,24 +176,24 @@
         libpq.check_connection(self._pgconn)
         if not self._has_status:
             self._pgconn.send_prepare(_STATUS_NAME, statements.STATUS.encode())
-            await libpq.fetch_answer(self._pgconn)
+            await libpq.fetch_answer(self._pgconn, self._readiness)
             self._has_status = True
         self._pgconn.send_query_prepared(_STATUS_NAME, ())
-        return await libpq.fetch_answer(self._pgconn)
+        return await libpq.fetch_answer(self._pgconn, self._readiness)
 
     async def _describe_new(self, sql: str) -> Description:
         libpq.check_connection(self._pgconn)
         self._pgconn.send_prepare(b'', sql.encode('utf-8'))
-        results = await libpq.fetch_results(self._pgconn)
+        results = await libpq.fetch_results(self._pgconn, self._readiness)
         libpq.read_answer(self._pgconn, results[-1])
         self._pgconn.send_describe_prepared(b'')
-        results = await libpq.fetch_results(self._pgconn)
+        results = await libpq.fetch_results(self._pgconn, self._readiness)
         return libpq.read_description(self._pgconn, results[-1])
 
     async def _fetch_pair(self) -> tuple[Answer, Answer]:
-        first = await libpq.fetch_results(self._pgconn)
-        second = await libpq.fetch_results(self._pgconn)
-        await libpq.fetch_results(self._pgconn)
+        first = await libpq.fetch_results(self._pgconn, self._readiness)
+        second = await libpq.fetch_results(self._pgconn, self._readiness)
+        await libpq.fetch_results(self._pgconn, self._readiness)
         self._pgconn.exit_pipeline_mode()
         return (
             libpq.read_answer(self._pgconn, first[-1]),
@@ -248,7 +251,7 @@
         try:
             answer = await connection.execute(statements.INCARNATION)
         except BaseException:
-            pgconn.finish()
+            await connection.close()
             raise
         connection.incarnation = answer.rows[0][0] or ''
         return connection
