Let a keeper hand its duties over before it stops

Cause: a stopped keeper left its duties to the hold-down, and a peer that once said goodbye stayed marked as leaving after its restart. Change: at a signal or the platform's notice a keeper tells its partners; the newest word of a peer counts. Conclusion: duties change hands without a gap at a planned stop.

--- a/catkincrank/duty.py
+++ b/catkincrank/duty.py
@@ -135,11 +135,14 @@
         buckets: Iterable[int],
         beliefs: Mapping[str, Belief],
         now: float,
+        *,
+        is_leaving: bool = False,
     ) -> None:
         """Work out the duties for ``buckets`` anew."""
         wanted = set(buckets)
         self._forget(wanted)
-        mine = Belief(self._me, PeerState.ALIVE, 'it is this keeper', now)
+        state = PeerState.LEAVING if is_leaving else PeerState.ALIVE
+        mine = Belief(self._me, state, 'it is this keeper', now)
         known = {**beliefs, self._me.name: mine}
         if known.keys() != self._names:
             self._names = frozenset(known)
@@ -168,6 +171,8 @@
 
     def _hold(self, bucket: int, duty: Duty, now: float) -> None:
         name = self._me.name
+        if not duty.keepers:
+            return
         if name in duty.keepers:
             self.moves += bucket not in self.held
             self.held[bucket] = duty.keepers.index(name)
--- a/catkincrank/fleet.py
+++ b/catkincrank/fleet.py
@@ -101,6 +101,17 @@
         for address in self.list_watchers(group):
             self._links.send(address.name, message)
 
+    def leave(self) -> None:
+        """Tell the others to take this keeper's duties over.
+
+        It goes on with them for the overlap, or until it is stopped.
+        """
+        if not self.is_leaving:
+            partners = self.duties.list_partners()
+            self.is_leaving = True
+            for name in partners:
+                self._links.send(name, self._make_probe(0))
+
     async def run(self) -> None:
         """Keep beliefs and duties up to date until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -116,7 +127,12 @@
         for belief in self.membership.tick(now):
             self._record(belief)
         beliefs = self.membership.beliefs
-        self.duties.update(map(find_bucket, self._groups), beliefs, now)
+        self.duties.update(
+            map(find_bucket, self._groups),
+            beliefs,
+            now,
+            is_leaving=self.is_leaving,
+        )
         self._links.replace(held.address for held in beliefs.values())
 
     def _probe(self, now: float) -> None:
--- a/catkincrank/keeperprogram.py
+++ b/catkincrank/keeperprogram.py
@@ -27,6 +27,7 @@
 )
 
 _PEER_PARTS = 3
+_FAREWELL_S = 0.5
 
 
 @final
@@ -82,8 +83,13 @@
 async def run(flags: KeeperFlags) -> None:
     """Run a keeper until a signal stops it."""
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(stop_at_signal, tasks.cancel_scope.cancel)
-        await serve(make_options(flags))
+        stopping = anyio.Event()
+        tasks.start_soon(stop_at_signal, stopping.set)
+        keeper = await tasks.start(serve, make_options(flags))
+        await stopping.wait()
+        keeper.fleet.leave()
+        await anyio.sleep(_FAREWELL_S)
+        tasks.cancel_scope.cancel()
 
 
 def make_options(flags: KeeperFlags) -> KeeperOptions:
--- a/catkincrank/leavingservice.py
+++ b/catkincrank/leavingservice.py
@@ -60,6 +60,7 @@
         except StoreUnavailableError:
             return
         if self._watch.take(machines, anyio.current_time()):
+            self._keeper.fleet.leave()
             self._recorder.record(
                 Event(
                     'machine_leaving',
--- a/catkincrank/membership.py
+++ b/catkincrank/membership.py
@@ -73,7 +73,8 @@
 
     address: PeerAddress
     is_listed: bool = False
-    is_leaving: bool = False
+    is_listed_leaving: bool = False
+    says_leaving: bool = False
     heard_at: float = _NEVER
     probed_since: float | None = None
     seen_at: float = _NEVER
@@ -123,7 +124,7 @@
             )
             evidence = self._find(address)
             evidence.is_listed = True
-            evidence.is_leaving = machine.is_leaving
+            evidence.is_listed_leaving = machine.is_leaving
             evidence.seen_at = now
 
     def hear(
@@ -137,7 +138,7 @@
         evidence = self._find(address)
         evidence.heard_at = now
         evidence.seen_at = now
-        evidence.is_leaving = evidence.is_leaving or is_leaving
+        evidence.says_leaving = is_leaving
 
     def probe(self, names: Iterable[str], now: float) -> None:
         """Say which peers are probed from now on; silence counts for them."""
@@ -198,7 +199,7 @@
 
 
 def _judge(evidence: _Evidence, now: float) -> tuple[PeerState, str]:
-    if evidence.is_leaving:
+    if evidence.is_listed_leaving or evidence.says_leaving:
         return PeerState.LEAVING, 'the platform or the peer says so'
     if evidence.probed_since is not None:
         quiet_since = max(evidence.heard_at, evidence.probed_since)
--- a/tests/test_duty.py
+++ b/tests/test_duty.py
@@ -82,6 +82,24 @@
     assert 0 < changed < 200 * 3 / len(NAMES) * 2
 
 
+def test_leaving_keeper_hands_its_duties_over():
+    duties = Duties(address('vm3'))
+    beliefs = believe()
+    beliefs.pop('vm3')
+    duties.update(range(100), beliefs, 0)
+    before = set(duties.held)
+    duties.update(range(100), beliefs, 1, is_leaving=True)
+    assert set(duties.held) == before
+    assert all('vm3' not in duty.keepers for duty in duties.chosen.values())
+    duties.update(range(100), beliefs, 12, is_leaving=True)
+    assert duties.held == {}
+    alone = Duties(address('vm3'))
+    alone.update(range(5), {}, 0)
+    alone.update(range(5), {}, 1, is_leaving=True)
+    alone.update(range(5), {}, 30, is_leaving=True)
+    assert len(alone.held) == 5
+
+
 def test_lost_duty_is_kept_for_the_overlap():
     me = address('vm3')
     duties = Duties(me)
@@ -108,6 +126,14 @@
     return lambda membership, now: membership.hear(address(name), now)
 
 
+def says_goodbye(name):
+    return lambda membership, now: membership.hear(
+        address(name),
+        now,
+        is_leaving=True,
+    )
+
+
 def probed(*names):
     return lambda membership, now: membership.probe(names, now)
 
@@ -120,6 +146,12 @@
         ([(0, listed('vm1')), (1, probed('vm1'))], 7, PeerState.LISTED),
         ([(0, listed('vm1')), (1, probed('vm1'))], 7.5, PeerState.SILENT),
         ([(0, heard('vm1'))], 1, PeerState.ALIVE),
+        ([(0, says_goodbye('vm1'))], 1, PeerState.LEAVING),
+        (
+            [(0, says_goodbye('vm1')), (2, heard('vm1'))],
+            3,
+            PeerState.ALIVE,
+        ),
         ([(0, heard('vm1'))], 60, PeerState.LISTED),
         ([(0, heard('vm1'))], 130, None),
         ([(0, listed('vm1')), (5, listed())], 100, PeerState.LISTED),
