Never use a ballot twice after a duty came back

Cause: a supervision that is begun again does not know the terms that its predecessor claimed, and could promise the same ballot to another choice. Change: each supervision has its own number in its ballots' keeper name. Conclusion: a ballot names one attempt, also after duties moved.

--- a/catkincrank/supervisor.py
+++ b/catkincrank/supervisor.py
@@ -1,5 +1,6 @@
 """Runs the supervision of every group that a keeper has duty for."""
 
+import itertools
 import random
 from collections.abc import Callable
 from typing import final
@@ -76,23 +77,24 @@
         self._tell = tell
         self._keeper = keeper
         self._zone = zone
+        self._numbers = itertools.count(1)
 
     def set_group(self, group: str, service: Service, rank: int) -> None:
         """Supervise ``group`` from now on, or change how."""
-        options = SupervisionOptions(
-            tuple(endpoint.name for endpoint in service.endpoints),
-            self._keeper,
-            self._zone,
-            service.on_unknown_position,
-            _DELAYS_S.get(service.acknowledgement, 0),
-            rank,
-        )
+        members = tuple(endpoint.name for endpoint in service.endpoints)
         known = self.supervisions.get(group)
-        if known is not None and known.options.members == options.members:
-            known.change_options(options)
+        if known is not None and known.options.members == members:
+            keeper = known.options.keeper
+            known.change_options(self._make(members, keeper, service, rank))
             return
-        now = anyio.current_time()
-        self.supervisions[group] = Supervision(options, now, random.Random())
+        # A ballot must never be used twice, and a new supervision does not
+        # know which ones an earlier one of this group has used.
+        keeper = '{0}.{1}'.format(self._keeper, next(self._numbers))
+        self.supervisions[group] = Supervision(
+            self._make(members, keeper, service, rank),
+            anyio.current_time(),
+            random.Random(),
+        )
 
     def drop_group(self, group: str) -> None:
         """No longer supervise ``group``."""
@@ -138,6 +140,22 @@
                     self._watches.hurry(group)
             await anyio.sleep(_TICK_S)
 
+    def _make(
+        self,
+        members: tuple[str, ...],
+        keeper: str,
+        service: Service,
+        rank: int,
+    ) -> SupervisionOptions:
+        return SupervisionOptions(
+            members,
+            keeper,
+            self._zone,
+            service.on_unknown_position,
+            _DELAYS_S.get(service.acknowledgement, 0),
+            rank,
+        )
+
     def _act(
         self,
         group: str,
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -148,6 +148,24 @@
     anyio.run(scenario)
 
 
+def test_supervisions_of_a_group_never_share_a_ballot():
+    async def scenario():
+        make_instances()
+        async with anyio.create_task_group() as tasks:
+            keeper = await start_keeper(tasks, 'near')
+            supervisor = keeper.supervisor
+            first = supervisor.supervisions[GROUP].options.keeper
+            keeper.apply_team('team', TEAM)
+            assert supervisor.supervisions[GROUP].options.keeper == first
+            keeper.apply_team('team', None)
+            assert supervisor.supervisions == {}
+            keeper.apply_team('team', TEAM)
+            assert supervisor.supervisions[GROUP].options.keeper != first
+            tasks.cancel_scope.cancel()
+
+    anyio.run(scenario)
+
+
 def test_extensions_and_handlers_exchange_settings():
     updates = []
 
