--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PY := $(VENV)/bin/python
 DEPLOYMENT ?= sawari
 SEEDS ?= 20
+WORKERS ?= 6
 STAMP := $(VENV)/.installed
 
 .PHONY: try test lint format bench faults slopes install
@@ -17,7 +18,7 @@
 	$(PY) -m catkincrank try --deployment $(DEPLOYMENT)
 
 test: $(STAMP)
-	$(PY) -m pytest
+	$(PY) -m pytest -n $(WORKERS)
 
 lint: $(STAMP)
 	$(PY) -m ruff format --check .
