--- a/benchmarks/result.py
+++ b/benchmarks/result.py
@@ -21,10 +21,12 @@
     Attributes:
         values: The figures.
         notes: What a reader has to know.
+        failures: Measures that did not run to their end.
     """
 
     values: dict[str, float | None] = field(default_factory=dict)
     notes: list[str] = field(default_factory=list)
+    failures: list[str] = field(default_factory=list)
 
     def put(self, name: str, figure: float | None) -> None:
         """Keep a figure, rounded for reading."""
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -59,12 +59,10 @@
     console = Console()
     figures = Figures()
     for name in options.only or MEASURES:
-        began = time.monotonic()
-        anyio.run(_run_measure, name, figures, options.quick)
-        took_s = time.monotonic() - began
+        took_s = _run_guarded(name, figures, is_quick=options.quick)
         console.print('{0}: {1:.0f} s'.format(name, took_s), highlight=False)
     figures.notes.append('fairness between teams: not measured yet')
-    broken = check_bounds(figures)
+    broken = [*check_bounds(figures), *figures.failures]
     console.print(_make_table(figures, _read_earlier(options.earlier)))
     for line in (*figures.notes, *broken):
         console.print(line, highlight=False, markup=False)
@@ -83,6 +81,16 @@
     return 1 if broken else 0
 
 
+def _run_guarded(name: str, figures: Figures, *, is_quick: bool) -> float:
+    """Run a measure; a failure is noted and spoils no other measure."""
+    began = time.monotonic()
+    try:
+        anyio.run(_run_measure, name, figures, is_quick)
+    except Exception as error:
+        figures.failures.append('{0} failed: {1!r}'.format(name, error))
+    return time.monotonic() - began
+
+
 async def _run_measure(name: str, figures: Figures, quick: bool) -> None:
     await MEASURES[name](figures, is_quick=quick)
 
