--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -3,7 +3,7 @@
 ``python -m benchmarks.slopes`` writes docs/capacity.json and
 docs/capacity.svg. ``--quick`` leaves the largest fleet and keeper out and
 writes into results/ instead. ``--reuse`` works the figures out anew from the
-slopes that are written down.
+slopes that are written down, ``--reuse-relays`` measures all but the fleets.
 """
 
 import argparse
@@ -71,11 +71,13 @@
         machine: Where it was made.
         commit: What was measured.
         slopes: What came of it.
+        relay_commit: What the relays were measured at.
     """
 
     machine: Machine
     commit: str
     slopes: Slopes
+    relay_commit: str = ''
 
 
 def main() -> None:
@@ -83,12 +85,17 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--quick', action='store_true')
     parser.add_argument('--reuse', action='store_true')
+    parser.add_argument('--reuse-relays', action='store_true')
     chosen = parser.parse_args()
     logger.remove()
     folder = Path('results' if chosen.quick else 'docs')
     folder.mkdir(exist_ok=True)
     path = folder / 'capacity.json'
-    run = _read(path) if chosen.reuse else _measure(is_quick=chosen.quick)
+    relays = _read(path) if chosen.reuse_relays else None
+    if chosen.reuse:
+        run = _read(path)
+    else:
+        run = _measure(is_quick=chosen.quick, relays=relays)
     figures = work_out(Size(), run.slopes)
     _write(path, run, figures)
     _plot(folder / 'capacity.svg', run.slopes, figures)
@@ -96,16 +103,17 @@
         sys.stdout.write('{0}\n'.format(_describe(figure)))
 
 
-def _measure(*, is_quick: bool) -> Run:
+def _measure(*, is_quick: bool, relays: Run | None = None) -> Run:
     keepers = _GROUPS[:2] if is_quick else _GROUPS
     fleets = _FLEETS[:2] if is_quick else _FLEETS
+    commit = _find_commit()
     tick_us, push_us = measure_relay_steps()
     slopes = Slopes(
         measure_messages(),
         measure_state(),
         tuple(anyio.run(measure_keeper, groups) for groups in keepers),
         anyio.run(measure_proxy, _READS, _CALLERS),
-        tuple(measure_relay(load) for load in fleets),
+        relays.slopes.relays if relays else tuple(map(measure_relay, fleets)),
         tick_us,
         push_us,
     )
@@ -114,7 +122,8 @@
         platform.python_version(),
         psutil.getloadavg()[0],
     )
-    return Run(machine, _find_commit(), slopes)
+    relay_commit = relays.relay_commit if relays else commit
+    return Run(machine, commit, slopes, relay_commit)
 
 
 def _read(path: Path) -> Run:
