Part transactions into state, start and end

Beginning on a leased connection, committing, and the state itself are modules of their own now; no behaviour changed.

--- a/catkincrank/assembly.py
+++ b/catkincrank/assembly.py
@@ -17,6 +17,8 @@
 from catkincrank.retrying import Retries
 from catkincrank.tally import Tally
 from catkincrank.transaction import Transactions
+from catkincrank.transactionend import TransactionCommitter
+from catkincrank.transactionstart import TransactionStarter
 from catkincrank.writing import Writer
 
 __all__ = ('assemble_executor',)
@@ -54,11 +56,8 @@
     )
     transactions = Transactions(
         leases,
-        reader,
-        writer,
-        primaries,
-        acknowledger,
-        resolver,
+        TransactionStarter(leases, reader, writer, primaries, acknowledger),
+        TransactionCommitter(leases, acknowledger, resolver),
         retries,
     )
     return Executor(
--- a/catkincrank/session.py
+++ b/catkincrank/session.py
@@ -12,7 +12,7 @@
 from catkincrank.tokens import SessionToken, encode_token
 
 if TYPE_CHECKING:
-    from catkincrank.transaction import Transaction
+    from catkincrank.transactionstate import Transaction
 
 __all__ = ('Session',)
 
