Wake requests that wait for a primary only when it changes

Each observation of any instance woke every write that waited in a failover to choose again, in every proxy: waiting requests times updates, at the very moment when both are many. News.await_primary compares endpoint, term and seal once an update and wakes on a difference.

--- a/catkincrank/primary.py
+++ b/catkincrank/primary.py
@@ -29,7 +29,7 @@
         retries: Spreads attempts to connect.
     """
 
-    __slots__ = ('_feed', '_leases', '_retries', '_news', '_waiting')
+    __slots__ = ('_feed', '_leases', '_retries', 'news', '_waiting')
 
     def __init__(
         self,
@@ -37,7 +37,7 @@
         leases: Leases,
         retries: Retries,
     ) -> None:
-        self._news = news
+        self.news = news
         self._feed = news.feed
         self._leases = leases
         self._retries = retries
@@ -91,11 +91,11 @@
     ) -> Lease:
         failures = 0
         while True:
-            revision = self._feed.revision(request.group)
+            view = self.news.view_primary(request.group)
             if ticket is None:
                 ticket = self._ask(request)
             if ticket is None:
-                await self._news.wait(request.group, revision)
+                await self.news.await_primary(request.group, view)
                 continue
             lease = await self._await_ticket(request, ticket)
             if lease is not None:
@@ -133,12 +133,12 @@
     ) -> None:
         endpoint = ticket.member.endpoint.name
         while True:
-            revision = self._feed.revision(request.group)
+            view = self.news.view_primary(request.group)
             choice = self._choose(request)
             if not isinstance(choice, Route) or choice.endpoint != endpoint:
                 scope.cancel()
                 return
-            await self._news.wait(request.group, revision)
+            await self.news.await_primary(request.group, view)
 
     def _choose(self, request: Request) -> object:
         loads = self._leases.pools.loads(request.group)
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -304,6 +304,32 @@
     play(scenario, queue_length=3)
 
 
+def test_news_of_replicas_wakes_no_waiting_write():
+    async def scenario(group, executor):
+        group.primary = ''
+        group.history = group.history.extend(2, group.position)
+        group.publish()
+        news = executor.runners.primaries.news
+        woken = []
+        view = news.view_primary(GROUP)
+
+        async def wait():
+            await news.await_primary(GROUP, view)
+            woken.append(anyio.current_time())
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wait)
+            for _ in range(10):
+                await anyio.sleep(0.01)
+                group.publish('b')
+            assert not woken
+            group.promote('c')
+            await anyio.sleep(0.01)
+            assert woken
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(
     ('fault', 'outcome'),
     [
