--- a/catkincrank/load/summary.py
+++ b/catkincrank/load/summary.py
@@ -126,7 +126,8 @@
         until_s: End of the window; the first success after it counts.
 
     Returns:
-        The gap in seconds; infinite when no write was served again.
+        The gap in seconds; infinite when no write was served again, also
+        after some that were still under way at the fault.
     """
     times = sorted(
         one.finished_s
@@ -138,9 +139,24 @@
     before = [at for at in times if at <= since_s] or [since_s]
     later = [at for at in times if at > since_s]
     inside = [at for at in later if at < until_s]
-    if not later:
+    if not later or _ends_unserved(outcomes, service, later[-1]):
         return math.inf
     after = later[len(inside) :]
     ends = [before[-1], *inside, *after[:1]]
     pairs = zip(ends, ends[1:], strict=False)
     return max(end - begin for begin, end in pairs)
+
+
+def _ends_unserved(
+    outcomes: Sequence[Outcome],
+    service: int,
+    served_until_s: float,
+) -> bool:
+    """Whether writes that came after the last success had none."""
+    return any(
+        one.service == service
+        and one.is_write
+        and one.verdict is not Verdict.RAN
+        and one.arrival.at_s > served_until_s
+        for one in outcomes
+    )
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -61,6 +61,15 @@
     assert find_gap(outcomes, 0, 2, 16) == expected
 
 
+def test_a_service_that_stays_away_has_no_end_of_its_gap():
+    lost = Outcome(
+        Arrival(5, 0, Operation.WRITE, 'item-0'), 0, 15, Verdict.NOT_RUN, 3
+    )
+    outcomes = [write_at(1), write_at(2.2), lost]
+    assert find_gap(outcomes, 0, 2, 16) == math.inf
+    assert find_gap([*outcomes, write_at(9)], 0, 2, 16) == 6.8
+
+
 def test_latency():
     measured = measure_latency([number / 1000 for number in range(1, 101)])
     assert measured.count == 100
