--- a/catkincrank/callersession.py
+++ b/catkincrank/callersession.py
@@ -81,7 +81,11 @@
             raise convert_error(error) from None
         except Exception as error:
             self.state.fail()
-            logger.opt(exception=error).error('statement_crashed')
+            crash = logger.bind(
+                event='statement_crashed',
+                group=self.state.group,
+            )
+            crash.opt(exception=error).error('statement_crashed')
             raise PgError(
                 _INTERNAL_ERROR,
                 'internal error of the proxy',
