Prove that the primary of a strict read had not been replaced

Cause: a read with max_staleness 0 went to the primary that the proxy believed in; until the proxy learnt of a replacement it could show old data as fresh. Change: the answer is kept back until a majority is known to have promised no later term when the read arrived; a replaced primary's answer is dropped. Before: the new test got the cut-off primary's answer at once. After: the successor's. Latency of such reads was not measured; it grows by about one reading of the instances. Conclusion: a stated age of 0 now has the same proof as the others.

--- a/catkincrank/filters/readrule.py
+++ b/catkincrank/filters/readrule.py
@@ -25,15 +25,22 @@
     """
 
     def filter(self, requests: Iterable[Request]) -> Iterator[Request]:
-        """Set ``max_staleness_s``."""
+        """Set ``max_staleness_s`` and ``is_strict``."""
         for request in requests:
             if request.access is Access.READ:
-                request.max_staleness_s = _decide_staleness(request)
+                _apply_rule(request)
             yield request
 
 
-def _decide_staleness(request: Request) -> float | None:
+def _apply_rule(request: Request) -> None:
     rule = _find_rule(request.service.reads, request.statement.text)
+    staleness_s = _decide_staleness(request, rule)
+    request.max_staleness_s = staleness_s
+    is_asked = request.options.max_staleness_s == 0
+    request.is_strict = staleness_s == 0 and (rule.to_replicas or is_asked)
+
+
+def _decide_staleness(request: Request, rule: ReadRule) -> float | None:
     if not rule.to_replicas:
         return 0
     if not request.options.has_staleness:
--- /dev/null
+++ b/catkincrank/primaryproof.py
@@ -0,0 +1,47 @@
+"""Proves that a read from a primary saw everything acknowledged before it."""
+
+from typing import final
+
+from catkincrank.errors import EndpointError
+from catkincrank.news import News
+
+__all__ = ('PrimaryProof',)
+
+
+@final
+class PrimaryProof:
+    """Waits for evidence that a primary had not been replaced.
+
+    Args:
+        news: Evidence about the groups, and a way to wait for more.
+    """
+
+    __slots__ = ('_feed', '_news')
+
+    def __init__(self, news: News) -> None:
+        self._news = news
+        self._feed = news.feed
+
+    async def confirm(self, group: str, endpoint: str, since: float) -> None:
+        """Return once ``endpoint`` is known to have been primary at ``since``.
+
+        No later term can have begun by then, so every write that was
+        acknowledged before is part of what the endpoint shows.
+
+        Args:
+            group: The group.
+            endpoint: Instance that answered the read.
+            since: When the read arrived, in seconds.
+
+        Raises:
+            EndpointError: Another instance is the primary now.
+        """
+        evidence = self._feed.evidence(group)
+        while True:
+            revision = evidence.revision
+            primary = self._feed.primary(group)
+            if primary and primary.status.endpoint != endpoint:
+                raise EndpointError('the primary was replaced', was_sent=True)
+            if primary and evidence.unreplaced_at(primary.status.term) >= since:
+                return
+            await self._news.wait(group, revision)
--- a/catkincrank/reading.py
+++ b/catkincrank/reading.py
@@ -12,6 +12,7 @@
 from catkincrank.leases import Lease, Leases
 from catkincrank.logs import log_event
 from catkincrank.news import News
+from catkincrank.primaryproof import PrimaryProof
 from catkincrank.request import Access, Progress, Request
 from catkincrank.retrying import Retries
 from catkincrank.routing import (
@@ -49,6 +50,7 @@
         '_feed',
         '_leases',
         '_news',
+        '_proof',
         '_retries',
         '_tally',
         '_zone',
@@ -64,6 +66,7 @@
     ) -> None:
         self._news = news
         self._feed = news.feed
+        self._proof = PrimaryProof(news)
         self._leases = leases
         self._retries = retries
         self._tally = tally
@@ -145,6 +148,12 @@
             await leases.release(lease)
             raise
         await leases.release(lease)
+        if request.is_strict:
+            await self._proof.confirm(
+                request.group,
+                lease.endpoint,
+                request.arrived_at,
+            )
         now = anyio.current_time()
         self._breakers[request.group].note_success(lease.endpoint, now)
         self._tally.count_served(request.group, Access.READ, lease.endpoint)
--- a/catkincrank/request.py
+++ b/catkincrank/request.py
@@ -55,6 +55,8 @@
         access: What it needs of an instance.
         deadline_at: When it is given up, in seconds.
         max_staleness_s: Greatest age of the data that it may read.
+        is_strict: Whether it must be proved to have seen all that was
+            acknowledged before it arrived.
         acknowledgement: Policy that its commit waits for.
         attempts: Most times that it is sent to an endpoint.
         fingerprint: Digest of what its request key stands for; empty when it
@@ -73,6 +75,7 @@
     access: Access = Access.WRITE
     deadline_at: float = math.inf
     max_staleness_s: float | None = None
+    is_strict: bool = False
     acknowledgement: Acknowledgement | None = None
     attempts: int = 1
     fingerprint: str = ''
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -102,6 +102,34 @@
     play(scenario)
 
 
+@pytest.mark.parametrize(
+    ('staleness', 'endpoint', 'ends_after'),
+    [('0', 'b', 2), ('own_writes', 'bc', 0)],
+)
+def test_strict_read_waits_for_proof(staleness, endpoint, ends_after):
+    """The cut-off primary answers; its successor is heard of later."""
+
+    async def scenario(group, executor):
+        await anyio.sleep(1)
+        session = open_session(max_staleness=staleness)
+
+        async def replace_primary():
+            await anyio.sleep(2)
+            group.promote('b')
+            await anyio.sleep(0.5)
+            group.publish()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(replace_primary)
+            began = anyio.current_time()
+            assert await submit(executor, session, 'select 1') == 'SELECT 1'
+            assert anyio.current_time() - began >= ends_after
+            assert group.steps[-1][1] in endpoint
+            tasks.cancel_scope.cancel()
+
+    play(scenario)
+
+
 @pytest.mark.parametrize(('is_heard', 'ends_at'), [(False, 3.25), (True, 30)])
 def test_read_leaves_an_instance_that_answers_nobody(is_heard, ends_at):
     """A read that merely takes long is left alone."""
