--- a/tests/test_repository.py
+++ b/tests/test_repository.py
@@ -31,6 +31,29 @@
     assert not found
 
 
+def test_the_map_of_modules_is_complete():
+    text = (ROOT / 'docs' / 'ARCHITECTURE.md').read_text()
+    named = set(re.findall(r'`(\w+)(?:\.py|/)`', text))
+    there = {path.stem for path in (ROOT / 'catkincrank').glob('[a-z]*')}
+    assert named == there - {'__pycache__'}
+
+
+@pytest.mark.parametrize(
+    'link',
+    [
+        (page, target)
+        for page in (ROOT / 'README.md', *(ROOT / 'docs').glob('*.md'))
+        for target in re.findall(
+            r'\]\(([^)#:]+)(?:#[^)]*)?\)', page.read_text()
+        )
+    ],
+    ids=lambda link: '{0}-{1}'.format(link[0].stem, link[1]),
+)
+def test_link_leads_to_a_page(link):
+    page, target = link
+    assert (page.parent / target).exists()
+
+
 @pytest.mark.parametrize(
     'page',
     ['README.md', 'CHANGES', 'docs/ARCHITECTURE.md'],
