Use the field's terms for polling and for a failover's events

Cause: 'hurry' and 'story' were metaphors of our own. Change: subscribers expedite a group; explain finds the last failover. Names only, behaviour as before. Conclusion: the tests pass unchanged but for the names.

--- a/catkincrank/commands/explain.py
+++ b/catkincrank/commands/explain.py
@@ -1,4 +1,4 @@
-"""Command ``explain``: the story of a group's last failover."""
+"""Command ``explain``: the events of a group's last failover."""
 
 import time
 from typing import Annotated
@@ -8,7 +8,11 @@
 
 from catkincrank.adminclient import fetch_states
 from catkincrank.commands.parameters import AdminList, parse_addresses
-from catkincrank.explanation import collect_events, describe_event, last_story
+from catkincrank.explanation import (
+    collect_events,
+    describe_event,
+    find_last_failover,
+)
 
 __all__ = ('explain_failover',)
 
@@ -22,12 +26,12 @@
     for state in states:
         if state.error:
             typer.echo('not heard: {0}'.format(state.error), err=True)
-    story = last_story(collect_events(states), group)
-    if not story:
+    failover = find_last_failover(collect_events(states), group)
+    if not failover:
         typer.echo('no failover of {0} is on record'.format(group))
         return
-    began = story[0].at
+    began = failover[0].at
     stamp = time.strftime('%Y-%m-%d %H:%M:%S', time.gmtime(began))
     typer.echo('{0}: began {1} UTC'.format(group, stamp))
-    for event in story:
+    for event in failover:
         typer.echo(describe_event(event, began))
--- a/catkincrank/explanation.py
+++ b/catkincrank/explanation.py
@@ -1,4 +1,4 @@
-"""Stories told from the journals of several processes."""
+"""Finds the events of a failover in the journals of several processes."""
 
 from collections.abc import Iterable
 
@@ -7,7 +7,7 @@
 from catkincrank.adminclient import ProcessState
 from catkincrank.journal import Event
 
-__all__ = ('collect_events', 'describe_event', 'last_story')
+__all__ = ('collect_events', 'describe_event', 'find_last_failover')
 
 _QUIET_GAP_S = 60
 _GROUP = 'group'
@@ -27,28 +27,28 @@
     )
 
 
-def last_story(events: Iterable[Event], group: str) -> list[Event]:
+def find_last_failover(events: Iterable[Event], group: str) -> list[Event]:
     """Return the events of the last failover of ``group``.
 
     A failover's events follow one another closely, so a quiet minute parts
-    one story from the next. The last story with a promotion counts, or the
+    one failover from the next. The last one with a promotion counts, or the
     last of all when nothing was promoted.
     """
-    stories: list[list[Event]] = [[]]
+    failovers: list[list[Event]] = [[]]
     for event in events:
         if not _concerns(event, group):
             continue
-        newest = stories[-1]
+        newest = failovers[-1]
         if newest and event.at - newest[-1].at > _QUIET_GAP_S:
             newest = []
-            stories.append(newest)
+            failovers.append(newest)
         newest.append(event)
-    promoted = [story for story in stories if _has_promotion(story)]
-    return promoted[-1] if promoted else stories[-1]
+    promoted = [found for found in failovers if _has_promotion(found)]
+    return promoted[-1] if promoted else failovers[-1]
 
 
 def describe_event(event: Event, began_at: float) -> str:
-    """Return one line that tells an event."""
+    """Return one line that describes an event."""
     evidence = ', '.join(
         '{0}={1}'.format(name, shown)
         for name, shown in sorted(event.evidence.items())
@@ -68,5 +68,5 @@
     return group in named or event.subject.startswith('{0}/'.format(group))
 
 
-def _has_promotion(story: list[Event]) -> bool:
-    return any(event.name == _PROMOTION for event in story)
+def _has_promotion(events: list[Event]) -> bool:
+    return any(event.name == _PROMOTION for event in events)
--- a/catkincrank/feedserver.py
+++ b/catkincrank/feedserver.py
@@ -142,7 +142,7 @@
         dispatcher: Handles what the processes send.
         watched: Groups that this keeper watches itself; other keepers get
             no others, so that news never goes in circles.
-        hurry: Is called with each group that a subscriber waits for.
+        expedite: Is called with each group that a subscriber waits for.
     """
 
     def __init__(
@@ -151,13 +151,13 @@
         source: str,
         dispatcher: Dispatcher,
         watched: Container[str],
-        hurry: Callable[[str], None],
+        expedite: Callable[[str], None],
     ) -> None:
         self._feed = feed
         self._source = source
         self._dispatcher = dispatcher
         self._watched = watched
-        self._hurry = hurry
+        self._expedite = expedite
         self._subscriptions: dict[Link, Subscription] = {}
         dispatcher.handle(FeedRequest)(self._subscribe)
         feed.listen(self._publish)
@@ -193,7 +193,7 @@
             FeedRequest(groups, request.stamp, request.urgent),
         )
         for group in request.urgent:
-            self._hurry(group)
+            self._expedite(group)
 
     def _publish(self, group: str) -> None:
         for subscription in self._subscriptions.values():
--- a/catkincrank/interest.py
+++ b/catkincrank/interest.py
@@ -33,7 +33,7 @@
         self._groups.discard(group)
         self._urgent_until.pop(group, None)
 
-    def hurry(self, group: str) -> None:
+    def expedite(self, group: str) -> None:
         """Say that somebody waits for news of ``group``."""
         now = anyio.current_time()
         if self._urgent_until.get(group, float('-inf')) < now:
--- a/catkincrank/keeper.py
+++ b/catkincrank/keeper.py
@@ -94,7 +94,7 @@
             self.incarnation,
             self.dispatcher,
             self.watches.groups,
-            self._hurry,
+            self._expedite,
         )
         self._register()
 
@@ -144,13 +144,13 @@
         self.fleet.register(self.dispatcher)
         self.fleet.set_peers(self.options.peers)
 
-    def _hurry(self, group: str) -> None:
-        self.watches.hurry(group)
-        self._upstreams.hurry(group)
+    def _expedite(self, group: str) -> None:
+        self.watches.expedite(group)
+        self._upstreams.expedite(group)
 
     async def _on_report(self, _peer: Peer, report: SuspicionReport) -> None:
         self.supervisor.hear_report(report)
-        self.watches.hurry(report.group)
+        self.watches.expedite(report.group)
 
     def _apply_duties(self) -> None:
         """Watch what this keeper has duty for, subscribe to the rest."""
--- a/catkincrank/news.py
+++ b/catkincrank/news.py
@@ -10,7 +10,7 @@
 
 __all__ = ('News', 'PrimaryView')
 
-_HURRY_INTERVAL_S = 0.4
+_EXPEDITE_INTERVAL_S = 0.4
 
 
 @final
@@ -35,19 +35,19 @@
 
     Args:
         feed: The feed.
-        hurry: Says to who fills the feed that somebody waits for a group.
+        expedite: Says to who fills the feed that somebody waits for a group.
     """
 
-    __slots__ = ('_events', '_hurry', '_views', '_waiter', 'feed')
+    __slots__ = ('_events', '_expedite', '_views', '_waiter', 'feed')
 
     def __init__(
         self,
         feed: Feed,
-        hurry: Callable[[str], None] | None = None,
+        expedite: Callable[[str], None] | None = None,
     ) -> None:
         self.feed = feed
         self._waiter = FeedWaiter(feed)
-        self._hurry = hurry
+        self._expedite = expedite
         self._events: dict[str, anyio.Event] = {}
         self._views: dict[str, PrimaryView | None] = {}
         feed.listen(self._notice)
@@ -68,21 +68,21 @@
         known = self.view_primary(group)
         if known != view:
             return
-        if self._hurry is not None:
-            self._hurry(group)
+        if self._expedite is not None:
+            self._expedite(group)
         self._views[group] = known
         event = self._events.setdefault(group, anyio.Event())
-        with anyio.move_on_after(_HURRY_INTERVAL_S):
+        with anyio.move_on_after(_EXPEDITE_INTERVAL_S):
             await event.wait()
 
     async def wait(self, group: str, after_revision: int) -> None:
         """Wait until the group's revision is beyond ``after_revision``."""
-        if self._hurry is None:
+        if self._expedite is None:
             await self._waiter.changed(group, after_revision)
             return
         while self.feed.revision(group) <= after_revision:
-            self._hurry(group)
-            with anyio.move_on_after(_HURRY_INTERVAL_S):
+            self._expedite(group)
+            with anyio.move_on_after(_EXPEDITE_INTERVAL_S):
                 await self._waiter.changed(group, after_revision)
 
     def _notice(self, group: str) -> None:
--- a/catkincrank/proxy.py
+++ b/catkincrank/proxy.py
@@ -101,7 +101,7 @@
         self.settings = SettingsClient(self.client, self.apply_team)
         self.tally = Tally()
         self.executor = assemble_executor(
-            News(self.feed, self.client.interest.hurry),
+            News(self.feed, self.client.interest.expedite),
             Leases(self.pools),
             self.catalog,
             options.zone,
--- a/catkincrank/supervisor.py
+++ b/catkincrank/supervisor.py
@@ -137,7 +137,7 @@
             for group, supervision in tuple(self.supervisions.items()):
                 self._act(group, supervision, supervision.tick(now))
                 if supervision.is_busy:
-                    self._watches.hurry(group)
+                    self._watches.expedite(group)
             await anyio.sleep(_TICK_S)
 
     def _make(
--- a/catkincrank/upstreams.py
+++ b/catkincrank/upstreams.py
@@ -57,11 +57,11 @@
         if scope is not None:
             scope.cancel()
 
-    def hurry(self, group: str) -> None:
+    def expedite(self, group: str) -> None:
         """Say that somebody waits for news of ``group``."""
         client = self._clients.get(group)
         if client is not None:
-            client.interest.hurry(group)
+            client.interest.expedite(group)
 
 
 async def _run(client: FeedClient, scope: anyio.CancelScope) -> None:
--- a/catkincrank/watch.py
+++ b/catkincrank/watch.py
@@ -103,7 +103,7 @@
         self._news = anyio.Event()
         self._urgent_until = float('-inf')
 
-    def hurry(self) -> None:
+    def expedite(self) -> None:
         """Read often for the next second."""
         was_at_rest = not self._is_urgent()
         self._urgent_until = anyio.current_time() + _URGENCY_S
--- a/catkincrank/watches.py
+++ b/catkincrank/watches.py
@@ -99,10 +99,10 @@
         self._end(tuple(self.groups.get(group, {})), group)
         self.groups.pop(group, None)
 
-    def hurry(self, group: str) -> None:
+    def expedite(self, group: str) -> None:
         """Read every instance of ``group`` often for a while."""
         for watch in self.groups.get(group, {}).values():
-            watch.hurry()
+            watch.expedite()
 
     def _end(self, endpoints: Iterable[str], group: str) -> None:
         for endpoint in endpoints:
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -5,17 +5,17 @@
 GROUP = ('a', 'b', 'c')
 
 
-def make_breaker(story):
+def make_breaker(events):
     """Play ``a`` for a failure and ``A`` for a success, one a second."""
     breaker = GroupBreaker()
-    for now, event in enumerate(story):
+    for now, event in enumerate(events):
         note = breaker.note_success if event.isupper() else breaker.note_failure
         note(event.lower(), now)
     return breaker
 
 
 @pytest.mark.parametrize(
-    ('story', 'now', 'ejected'),
+    ('events', 'now', 'ejected'),
     [
         ('', 0, ''),
         ('bb', 2, ''),
@@ -32,8 +32,8 @@
         ('bbbB', 3.5, ''),
     ],
 )
-def test_ejection(story, now, ejected):
-    breaker = make_breaker(story)
+def test_ejection(events, now, ejected):
+    breaker = make_breaker(events)
     assert breaker.ejected(GROUP, now) == frozenset(ejected)
 
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -6,7 +6,11 @@
 from catkincrank.adminclient import AdminAddress, ProcessState
 from catkincrank.commands import settings
 from catkincrank.commands.status import describe_process
-from catkincrank.explanation import collect_events, describe_event, last_story
+from catkincrank.explanation import (
+    collect_events,
+    describe_event,
+    find_last_failover,
+)
 from tests.fakestore import FakeStore
 
 
@@ -134,14 +138,14 @@
 ]
 
 
-def test_last_story_is_in_order_over_processes():
-    story = last_story(collect_events(STATES), 'a/b')
-    assert [event.name for event in story] == [
+def test_find_last_failover_is_in_order_over_processes():
+    failover = find_last_failover(collect_events(STATES), 'a/b')
+    assert [event.name for event in failover] == [
         'suspicion',
         'seal',
         'promotion',
     ]
-    line = describe_event(story[1], story[0].at)
+    line = describe_event(failover[1], failover[0].at)
     assert '+1.000 s  k2' in line
     assert '[term=2]' in line
 
--- a/tests/test_keeper.py
+++ b/tests/test_keeper.py
@@ -47,7 +47,7 @@
     return FakeDriver.instances
 
 
-async def watch_for(seconds, change=None, hurry=False):
+async def watch_for(seconds, change=None, expedite=False):
     instance = make_instances()['a']
     recorder = Recorder()
     watch = Watch(
@@ -65,19 +65,19 @@
         await anyio.sleep(1)
         if change:
             change(instance)
-        if hurry:
-            watch.hurry()
+        if expedite:
+            watch.expedite()
         await anyio.sleep(seconds)
         tasks.cancel_scope.cancel()
     return instance, recorder
 
 
 @pytest.mark.parametrize(
-    ('hurry', 'least', 'most'),
+    ('expedite', 'least', 'most'),
     [(False, 6, 9), (True, 50, 80)],
 )
-def test_watch_reads_often_only_while_urgent(hurry, least, most):
-    _, recorder = virtualtime.run(watch_for, 1, None, hurry)
+def test_watch_reads_often_only_while_urgent(expedite, least, most):
+    _, recorder = virtualtime.run(watch_for, 1, None, expedite)
     assert least <= len(recorder.seen) <= most
     assert all(at >= seen.taken_at for at, seen in recorder.seen)
 
@@ -138,7 +138,7 @@
                 status,
                 role=Role.PRIMARY,
             )
-            client.interest.hurry(GROUP)
+            client.interest.expedite(GROUP)
             await wait_until(lambda: feed.primary(GROUP) is not None)
             now = anyio.current_time()
             assert feed.primary(GROUP).taken_at <= now
