Parse places of processes in one module

Cause: four modules took HOST:PORT apart, each with other checks; only one of them refused a port above 65535. Checked: table of good and bad places. Conclusion: one form, one error.

--- a/catkincrank/adminclient.py
+++ b/catkincrank/adminclient.py
@@ -7,12 +7,12 @@
 import anyio
 import msgspec
 
-from catkincrank.errors import CatkincrankError, OptionError
+from catkincrank.errors import CatkincrankError
+from catkincrank.places import parse_place
 
 __all__ = ('AdminAddress', 'AdminError', 'ProcessState', 'call', 'fetch_states')
 
 _TIMEOUT_S = 5
-_MAX_PORT = 65535
 _OK = 200
 
 
@@ -37,10 +37,8 @@
     @classmethod
     def parse(cls, text: str) -> 'AdminAddress':
         """Return the address that ``HOST:PORT`` stands for."""
-        host, _, port = text.strip().rpartition(':')
-        if not host or not port.isdecimal() or int(port) > _MAX_PORT:
-            raise OptionError('admin', text, 'HOST:PORT')
-        return cls(host.strip('[]'), int(port))
+        place = parse_place('admin', text, 'HOST:PORT')
+        return cls(place.host, place.port)
 
     def __str__(self) -> str:
         return '{0}:{1}'.format(self.host, self.port)
--- a/catkincrank/keeperprogram.py
+++ b/catkincrank/keeperprogram.py
@@ -7,11 +7,11 @@
 import anyio
 
 from catkincrank.admin import AdminHooks, AdminServer
-from catkincrank.errors import OptionError
 from catkincrank.keeper import Keeper, KeeperOptions, PeerAddress, serve
 from catkincrank.keeperdump import dump_keeper
 from catkincrank.leavingservice import LeavingService
 from catkincrank.metrics import Metrics
+from catkincrank.places import parse_place
 from catkincrank.relayreport import expose_settings
 from catkincrank.relayservice import EVERY_TEAM, RelayService
 from catkincrank.shutdown import stop_at_signal
@@ -26,7 +26,6 @@
     'run',
 )
 
-_PEER_PARTS = 3
 _FAREWELL_S = 0.5
 
 
@@ -44,11 +43,8 @@
     @classmethod
     def parse(cls, text: str) -> 'PeerFlag':
         """Return the peer that ``text`` names."""
-        parts = text.split('/')
-        host, _, port = parts[-1].rpartition(':')
-        if len(parts) != _PEER_PARTS or not host or not port.isdecimal():
-            raise OptionError('--peers', text, 'NAME/ZONE/HOST:PORT')
-        return cls(PeerAddress(parts[0], parts[1], host, int(port)))
+        place = parse_place('--peers', text, 'NAME/ZONE/HOST:PORT')
+        return cls(PeerAddress(*place.names, place.host, place.port))
 
 
 @final
--- a/catkincrank/load/targets.py
+++ b/catkincrank/load/targets.py
@@ -1,11 +1,11 @@
 """Addresses given on a command line."""
 
-from catkincrank.errors import OptionError
 from catkincrank.load.connection import Target
+from catkincrank.places import parse_place
 
 __all__ = ('parse_targets',)
 
-_ACCEPTED = 'HOST:PORT addresses parted by commas'
+_ACCEPTED = 'HOST:PORT'
 
 
 def parse_targets(text: str, user: str, password: str) -> list[Target]:
@@ -14,10 +14,11 @@
     Raises:
         OptionError: An address is malformed.
     """
-    targets = []
-    for part in text.split(','):
-        host, _, port = part.strip().rpartition(':')
-        if not host or not port.isdecimal():
-            raise OptionError('--target', part, _ACCEPTED)
-        targets.append(Target(part.strip(), host, int(port), user, password))
-    return targets
+    places = {
+        part.strip(): parse_place('--target', part, _ACCEPTED)
+        for part in text.split(',')
+    }
+    return [
+        Target(name, place.host, place.port, user, password)
+        for name, place in places.items()
+    ]
--- a/catkincrank/proxyprogram.py
+++ b/catkincrank/proxyprogram.py
@@ -6,10 +6,10 @@
 from typing import Any, final
 
 from catkincrank.admin import AdminHooks, AdminServer
-from catkincrank.errors import OptionError
 from catkincrank.feedclient import KeeperAddress
 from catkincrank.leavingclient import obey_notices
 from catkincrank.metrics import Metrics
+from catkincrank.places import parse_place
 from catkincrank.proxy import Proxy, ProxyOptions, serve
 from catkincrank.proxystate import describe_proxy
 from catkincrank.relayreport import expose_settings
@@ -38,11 +38,8 @@
     @classmethod
     def parse(cls, text: str) -> 'KeeperFlag':
         """Return the keeper that ``text`` names."""
-        name, slash, place = text.partition('/')
-        host, _, port = place.rpartition(':')
-        if not slash or not host or not port.isdecimal():
-            raise OptionError('--keepers', text, 'NAME/HOST:PORT')
-        return cls(KeeperAddress(name, host, int(port)))
+        place = parse_place('--keepers', text, 'NAME/HOST:PORT')
+        return cls(KeeperAddress(*place.names, place.host, place.port))
 
 
 @final
