--- /dev/null
+++ b/benchmarks/busykeeper.py
@@ -0,0 +1,24 @@
+"""Measures a keeper while writes wait for replicas.
+
+``python -m benchmarks.busykeeper`` prints one JSON object.
+"""
+
+import sys
+
+import anyio
+import msgspec
+
+from benchmarks.processcosts import measure_busy_keeper
+
+__all__ = ('main',)
+
+
+def main() -> None:
+    """Run the measure and print it."""
+    cost = anyio.run(measure_busy_keeper)
+    sys.stdout.write(msgspec.json.encode(cost).decode())
+    sys.stdout.write('\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/benchmarks/processcosts.py
+++ b/benchmarks/processcosts.py
@@ -1,6 +1,5 @@
 """Keepers and proxies as processes before small stand-ins."""
 
-import asyncio
 import contextlib
 import os
 import socket
@@ -12,6 +11,7 @@
 import anyio
 import psutil
 
+from benchmarks.meter import Meter
 from catkincrank.adminclient import AdminAddress, AdminError, call
 from catkincrank.changes import Change, change_team
 from catkincrank.load.connection import CallerConnection, Target
@@ -21,7 +21,14 @@
 from catkincrank.standins.platform import StandinPlatform
 from catkincrank.stores.http import HttpStore
 
-__all__ = ('KeeperCost', 'ProxyCost', 'measure_keeper', 'measure_proxy')
+__all__ = (
+    'BusyKeeperCost',
+    'KeeperCost',
+    'ProxyCost',
+    'measure_busy_keeper',
+    'measure_keeper',
+    'measure_proxy',
+)
 
 _HOST = '127.0.0.1'
 _ZONE = 'zone-0'
@@ -32,6 +39,8 @@
 _POLL_S = 0.2
 _MEGABYTE = 1048576
 _PASSWORD = 'benchmark'
+_CREATE = 'CREATE TABLE IF NOT EXISTS writes (id int8 PRIMARY KEY)'
+_WRITE = 'INSERT INTO writes VALUES ({0})'
 
 
 @final
@@ -77,48 +86,26 @@
 
 
 @final
-class _Meter:
-    """Relays connections to an instance and counts their bytes."""
-
-    def __init__(self, port: int) -> None:
-        self.port = 0
-        self.count = 0
-        self._target = port
-        self._server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._accept, _HOST, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
-
-    async def _accept(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        inner = await asyncio.open_connection(_HOST, self._target)
-        await asyncio.gather(
-            self._relay(reader, inner[1]),
-            self._relay(inner[0], writer),
-        )
+@dataclass(frozen=True, slots=True)
+class BusyKeeperCost:
+    """A keeper of one group while one caller writes without a pause.
 
-    async def _relay(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        with contextlib.suppress(OSError):
-            while chunk := await reader.read(65536):
-                self.count += len(chunk)
-                writer.write(chunk)
-        writer.close()
+    Attributes:
+        writes_per_s: Acknowledged writes a second.
+        keeper_cpu_share: Share of one core that the keeper takes.
+        proxy_cpu_share: Share of one core that the proxy takes.
+    """
+
+    writes_per_s: float
+    keeper_cpu_share: float
+    proxy_cpu_share: float
 
 
 @final
 class _Bench:
     """The stand-ins and the addresses of the processes to come."""
 
-    def __init__(self, platform: StandinPlatform, meters: list[_Meter]) -> None:
+    def __init__(self, platform: StandinPlatform, meters: list[Meter]) -> None:
         self.platform = platform
         self.meters = meters
         self.store = HttpStore(platform.address)
@@ -141,6 +128,10 @@
         body = encode_team(Team(services))
         await change_team(self.store, Change(_TEAM, body, 0, 'bench', 0))
 
+    def target(self) -> Target:
+        """Return the address of the proxy."""
+        return Target('proxy', _HOST, self.proxy_port, 'bench', _PASSWORD)
+
     def count_bytes(self) -> int:
         """Return the payload to and from the instances so far."""
         return sum(meter.count for meter in self.meters)
@@ -171,13 +162,7 @@
     async with _open_bench() as bench:
         await bench.write_team(1)
         async with _run_keeper(bench), _run_proxy(bench) as proxy:
-            target = Target(
-                'proxy',
-                _HOST,
-                bench.proxy_port,
-                'bench',
-                _PASSWORD,
-            )
+            target = bench.target()
             first = await _open_caller(target)
             await first.execute('SELECT 1')
             await anyio.sleep(_SETTLE_S)
@@ -205,6 +190,29 @@
             )
 
 
+async def measure_busy_keeper() -> BusyKeeperCost:
+    """Return what a keeper takes while writes wait for a replica."""
+    async with _open_bench() as bench:
+        await bench.write_team(1)
+        async with _run_keeper(bench) as keeper, _run_proxy(bench) as proxy:
+            caller = await _open_caller(bench.target())
+            await caller.execute(_CREATE)
+            await anyio.sleep(_SETTLE_S)
+            began_at = anyio.current_time()
+            used = _cpu_s(keeper), _cpu_s(proxy)
+            writes = 0
+            while anyio.current_time() < began_at + _SAMPLE_S:
+                await caller.execute(_WRITE.format(writes))  # noqa: WPS476
+                writes += 1
+            elapsed_s = anyio.current_time() - began_at
+            caller.close()
+            return BusyKeeperCost(
+                writes / elapsed_s,
+                (_cpu_s(keeper) - used[0]) / elapsed_s,
+                (_cpu_s(proxy) - used[1]) / elapsed_s,
+            )
+
+
 async def _open_caller(target: Target) -> Any:
     return await CallerConnection.open(target, '{0}/service-0'.format(_TEAM))
 
@@ -217,7 +225,7 @@
         async with anyio.create_task_group() as tasks:
             await tasks.start(platform.serve)
             meters = [
-                _Meter(address.port) for address in group.addresses().values()
+                Meter(address.port) for address in group.addresses().values()
             ]
             for meter in meters:
                 await meter.start()  # noqa: WPS476
