End the statements of an ended session in the stand-in

A trace showed the stand-in's fault: a statement that was being worked on when its session was reset went on and wrote into the restarted instance's database, outside any transaction; a resubmitted key then met that row. Ruled out: the request path, which sent the right statements in order; a transaction that takes the old instance's writer, mended too as it was near. Change: after any wait a statement checks that its transaction still holds the instance's writer. Conclusion: a fault of the stand-in, not of the product.

--- a/catkincrank/standins/execution.py
+++ b/catkincrank/standins/execution.py
@@ -138,6 +138,7 @@
     async def _write_draft(self, change: Change) -> list[Row]:
         async with self._instance.slots:
             await self._work()
+            self.transaction.check_held()
             rows, count = self._instance.database.write(change)
             return rows or [() for _ in range(count)]
 
--- a/catkincrank/standins/transaction.py
+++ b/catkincrank/standins/transaction.py
@@ -36,16 +36,28 @@
         """Become the writer; waits while another transaction is.
 
         Raises:
-            PgError: The instance takes no writes.
+            PgError: The instance takes no writes, or was restarted.
         """
         if self._writer is not None:
             return
         self._instance.check_writable()
         writer = self._instance.writer
         await writer.acquire()
+        if writer is not self._instance.writer:
+            writer.release()
+            raise PgError(_RESTARTED, 'the instance was restarted')
         self._writer = writer
         self._instance.database.begin()
 
+    def check_held(self) -> None:
+        """Check that the writer is still held, after any wait.
+
+        Raises:
+            PgError: The session ended or the instance was restarted.
+        """
+        if self._writer is None or self._writer is not self._instance.writer:
+            raise PgError(_RESTARTED, 'the instance was restarted')
+
     def add(self, change: Change) -> None:
         """Remember a change that has run in the draft."""
         self._changes.append(change)
@@ -100,8 +112,7 @@
     def _check(self) -> None:
         if self._changes:
             self._instance.check_writable()
-        if self._writer is not self._instance.writer:
-            raise PgError(_RESTARTED, 'the instance was restarted')
+        self.check_held()
 
     def _run(self, sql: str) -> None:
         self._instance.database.write(Change(sql, {}, ''))
--- a/tests/test_faults_request.py
+++ b/tests/test_faults_request.py
@@ -40,6 +40,13 @@
     assert outcome.has_struck
 
 
+def test_statement_of_an_ended_session_writes_nothing():
+    """The instance restarts while a request's key is being inserted."""
+    outcome = run('primary_restarted', 'begin', 0)
+    assert outcome.violations == {}
+    assert outcome.has_struck
+
+
 @pytest.mark.parametrize(
     'fault', ['proxy_paused', 'cut_primary_off_with_proxy']
 )
