Draw both fleet plots of the slopes by one function

Cause: the plots of spread time and of traffic were one function written twice, alike but for two series, a bound and a title. Change: one function draws series over the number of nodes; the callers name the series, the bound and the title. Conclusion: no behaviour changed.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -186,34 +186,46 @@
 
 
 def _plot_spread(axes: Any, slopes: Slopes) -> None:
-    relays = [relay for relay in slopes.relays if relay.changes_per_s < 1]
-    nodes = [relay.nodes for relay in relays]
-    for label, seconds in (
-        ('median', [relay.median_s for relay in relays]),
-        ('slowest node', [relay.longest_s for relay in relays]),
-    ):
-        axes.plot(nodes, seconds, marker='o', label=label)
+    relays = _list_relays(slopes)
+    _plot_by_nodes(
+        axes,
+        relays,
+        median=[relay.median_s for relay in relays],
+        slowest_node=[relay.longest_s for relay in relays],
+    )
     axes.axhline(11, **_BOUND_STYLE)
-    axes.set_xscale('log')
-    axes.set_xlabel('nodes')
     axes.set_ylabel('s')
     axes.set_title('Settings: accepted to in force')
-    axes.legend()
 
 
 def _plot_bytes(axes: Any, slopes: Slopes) -> None:
-    relays = [relay for relay in slopes.relays if relay.changes_per_s < 1]
-    nodes = [relay.nodes for relay in relays]
-    for label, rates in (
-        ('mean node', [relay.mean_bytes_per_s for relay in relays]),
-        ('busiest node', [relay.most_bytes_per_s for relay in relays]),
-    ):
-        axes.plot(nodes, rates, marker='o', label=label)
+    relays = _list_relays(slopes)
+    _plot_by_nodes(
+        axes,
+        relays,
+        mean_node=[relay.mean_bytes_per_s for relay in relays],
+        busiest_node=[relay.most_bytes_per_s for relay in relays],
+    )
     axes.axhline(3000, **_BOUND_STYLE)
-    axes.set_xscale('log')
-    axes.set_xlabel('nodes')
     axes.set_ylabel('bytes/s, both ways')
     axes.set_title('Relay traffic of a node')
+
+
+def _list_relays(slopes: Slopes) -> list[Any]:
+    return [relay for relay in slopes.relays if relay.changes_per_s < 1]
+
+
+def _plot_by_nodes(
+    axes: Any,
+    relays: list[Any],
+    **lines: list[float],
+) -> None:
+    nodes = [relay.nodes for relay in relays]
+    for name, heights in lines.items():
+        label = name.replace('_', ' ')
+        axes.plot(nodes, heights, marker='o', label=label)
+    axes.set_xscale('log')
+    axes.set_xlabel('nodes')
     axes.legend()
 
 
