--- a/catkincrank/endpoint.py
+++ b/catkincrank/endpoint.py
@@ -24,6 +24,9 @@
 )
 
 
+_PROBE_SQL = 'SELECT 1'
+
+
 @final
 class TransactionStatus(enum.StrEnum):
     """Transaction state of a connection, by PostgreSQL's letters."""
@@ -193,6 +196,10 @@
     async def terminate(self, application: str) -> int:
         """End other connections of ``application``; return how many."""
 
+    async def probe(self) -> None:
+        """Find out whether the endpoint answers."""
+        await self.execute(_PROBE_SQL)
+
     @abstractmethod
     async def close(self) -> None:
         """Close without waiting for the endpoint."""
--- /dev/null
+++ b/catkincrank/gateway/execution.py
@@ -0,0 +1,138 @@
+"""Runs single statements, each to one final reply."""
+
+from typing import final
+
+import anyio
+
+from catkincrank.errors import EndpointError
+from catkincrank.gateway.catalog import Route
+from catkincrank.gateway.choice import Choice
+from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.linkpools import BorrowedLink
+from catkincrank.gateway.passing import Passer
+from catkincrank.gateway.placement import Need, Placement
+from catkincrank.gateway.reply import Failure, Reply, StatementFailed
+from catkincrank.gateway.session import Session
+from catkincrank.gateway.statement import Statement
+
+__all__ = ('Execution',)
+
+
+@final
+class Execution:
+    """Runs statements outside transactions.
+
+    Args:
+        groups: Evidence about the groups.
+        placement: Finds endpoints.
+        passer: Passes statements on.
+    """
+
+    __slots__ = ('_groups', '_passer', '_placement')
+
+    def __init__(
+        self,
+        groups: Groups,
+        placement: Placement,
+        passer: Passer,
+    ) -> None:
+        self._groups = groups
+        self._placement = placement
+        self._passer = passer
+
+    async def run(
+        self,
+        session: Session,
+        route: Route,
+        statement: Statement,
+    ) -> Reply:
+        """Run a statement.
+
+        Raises:
+            StatementFailed: It failed; says whether it may have run.
+        """
+        now = anyio.current_time()
+        need = Need(
+            route,
+            session.mark,
+            now,
+            now + route.timeout_s,
+            session.writes(statement),
+        )
+        while True:
+            choice, borrowed = await self._placement.place(need)
+            try:
+                reply = await self._attempt(
+                    session, statement, need, choice, borrowed
+                )
+            except EndpointError as error:
+                self._judge(need, choice, error)
+                await self._placement.pause(need)
+                continue
+            if reply.refusal is None:
+                return self._accept(session, need, choice, reply)
+            if not self._placement.may_move(reply.refusal.failure):
+                return reply
+            need.exclude(choice.entry.endpoint_id, reply.refusal.failure)
+            await self._placement.pause(need)
+
+    async def _attempt(
+        self,
+        session: Session,
+        statement: Statement,
+        need: Need,
+        choice: Choice,
+        borrowed: BorrowedLink,
+    ) -> Reply:
+        was_sent = False
+        after = None if need.is_write else choice.after
+        with anyio.CancelScope(deadline=need.deadline):
+            await self._passer.adopt(borrowed, session, statement)
+            was_sent = True
+            reply = await self._passer.run(borrowed, session, statement, after)
+            borrowed.give_back()
+            return reply
+        raise EndpointError('no answer in time', was_sent=was_sent)
+
+    def _judge(
+        self,
+        need: Need,
+        choice: Choice,
+        error: EndpointError,
+    ) -> None:
+        """Raise what the caller is told, unless the statement may be retried.
+
+        Raises:
+            StatementFailed: It may have run, or its time is over.
+        """
+        if need.is_write and error.was_sent:
+            raise StatementFailed(Failure.IN_DOUBT, str(error))
+        if anyio.current_time() >= need.deadline:
+            raise StatementFailed(
+                Failure.TIMED_OUT if error.was_sent else Failure.OVERLOADED,
+                str(error),
+            )
+        need.exclude(choice.entry.endpoint_id, Failure.OVERLOADED)
+
+    def _accept(
+        self,
+        session: Session,
+        need: Need,
+        choice: Choice,
+        reply: Reply,
+    ) -> Reply:
+        """Return a success that may be acknowledged.
+
+        Raises:
+            StatementFailed: The primary may have been replaced meanwhile.
+        """
+        if not need.is_write:
+            return reply
+        evidence = self._groups.evidence(need.route.service)
+        if not evidence.holds(choice.term, anyio.current_time()):
+            raise StatementFailed(
+                Failure.IN_DOUBT,
+                'the grant of the primary ended before its answer came',
+            )
+        session.advance(reply.position)
+        return reply
--- /dev/null
+++ b/catkincrank/gateway/front.py
@@ -0,0 +1,225 @@
+"""Serves callers: one session for each connection."""
+
+from typing import final
+
+import anyio
+from anyio.abc import SocketStream
+
+from catkincrank.endpoint import TransactionStatus
+from catkincrank.gateway.callers import CallerCodec, Startup, Terminate
+from catkincrank.gateway.catalog import Route
+from catkincrank.gateway.execution import Execution
+from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.reply import Failure, Reply, StatementFailed, refuse
+from catkincrank.gateway.requestlog import RequestLog
+from catkincrank.gateway.session import Session, answer_locally
+from catkincrank.gateway.statement import Kind, Statement
+from catkincrank.gateway.transactions import Transactions
+
+__all__ = ('Caller', 'Front')
+
+# A caller that has not said what it wants by then is not going to.
+_STARTUP_LIMIT_S = 5.0
+_HANG_UPS = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
+
+
+@final
+class Caller:
+    """One caller's connection.
+
+    Args:
+        codec: Its protocol.
+        scope: Cancels its task.
+
+    Attributes:
+        session: Its session, once it has one.
+        is_waiting: Whether nothing of it is in flight.
+    """
+
+    __slots__ = ('codec', 'is_waiting', 'scope', 'session')
+
+    def __init__(self, codec: CallerCodec, scope: anyio.CancelScope) -> None:
+        self.codec = codec
+        self.scope = scope
+        self.session: Session | None = None
+        self.is_waiting = False
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether its connection may be closed without harm."""
+        if self.session is None:
+            return False
+        is_open = self.session.status is not TransactionStatus.IDLE
+        return self.is_waiting and not is_open and not self.codec.has_input
+
+
+@final
+class Front:
+    """Serves callers.
+
+    Args:
+        groups: Evidence about the groups.
+        execution: Runs single statements.
+        transactions: Runs transactions.
+        log: Log of requests.
+        codec: Protocol of the callers.
+
+    Attributes:
+        callers: Connections that are open.
+        is_closing: Whether sessions end as soon as they are idle.
+    """
+
+    __slots__ = (
+        '_codec',
+        '_execution',
+        '_groups',
+        '_log',
+        '_transactions',
+        'callers',
+        'is_closing',
+    )
+
+    def __init__(
+        self,
+        groups: Groups,
+        execution: Execution,
+        transactions: Transactions,
+        log: RequestLog,
+        codec: type[CallerCodec],
+    ) -> None:
+        self._groups = groups
+        self._execution = execution
+        self._transactions = transactions
+        self._log = log
+        self._codec = codec
+        self.callers: set[Caller] = set()
+        self.is_closing = False
+
+    async def serve(self, stream: SocketStream) -> None:
+        """Serve one connection until it ends."""
+        async with stream:
+            with anyio.CancelScope() as scope:
+                caller = Caller(self._codec(stream), scope)
+                self.callers.add(caller)
+                try:
+                    await self._converse(caller)
+                except _HANG_UPS:
+                    self._log.note_hang_up(caller.session)
+                finally:
+                    self.callers.discard(caller)
+                    await self._clean_up(caller)
+
+    def close_idle(self) -> None:
+        """End the sessions that are idle, and the others once they are."""
+        self.is_closing = True
+        for caller in tuple(self.callers):
+            if caller.is_idle:
+                caller.scope.cancel()
+
+    async def _converse(self, caller: Caller) -> None:
+        with anyio.move_on_after(_STARTUP_LIMIT_S):
+            startup = await caller.codec.read_startup()
+            if await self._admit(caller, startup):
+                caller.session = Session(startup.database, startup.user)
+        if caller.session is None:
+            return
+        await caller.codec.welcome()
+        while not (self.is_closing and caller.session.transaction is None):
+            request = await self._await_request(caller)
+            if isinstance(request, Terminate):
+                return
+            reply = await self._answer(caller.session, request)
+            await caller.codec.send(reply)
+
+    async def _admit(self, caller: Caller, startup: Startup | None) -> bool:
+        if startup is None:
+            await caller.codec.turn_away(Failure.MALFORMED)
+            return False
+        if self._find_route(startup.database) is None:
+            self._log.note_unknown(startup.database)
+            await caller.codec.turn_away(Failure.UNKNOWN_DATABASE)
+            return False
+        return True
+
+    async def _await_request(self, caller: Caller) -> Statement | Terminate:
+        """Return the next request; roll back if a transaction idles."""
+        caller.is_waiting = True
+        request = None
+        with anyio.move_on_after(self._idle_limit(caller.session)):
+            request = await caller.codec.read_request()
+        if request is None:
+            await self._end_idle(caller.session)
+            request = await caller.codec.read_request()
+        caller.is_waiting = False
+        return request
+
+    def _idle_limit(self, session: Session) -> float | None:
+        if session.transaction is None or self._groups.catalog is None:
+            return None
+        return self._groups.catalog.transaction_idle_s
+
+    async def _end_idle(self, session: Session) -> None:
+        transaction = session.transaction
+        if transaction is None:
+            return
+        self._log.note_idle(session)
+        await self._transactions.abandon(transaction)
+        session.fail()
+
+    async def _answer(self, session: Session, statement: Statement) -> Reply:
+        started = anyio.current_time()
+        try:
+            reply = await self._run(session, statement)
+        except StatementFailed as error:
+            reply = error.as_reply(session.status)
+        took_s = anyio.current_time() - started
+        self._log.note(session, statement, reply, took_s)
+        return reply
+
+    async def _run(self, session: Session, statement: Statement) -> Reply:
+        local = answer_locally(session, statement)
+        if local is not None:
+            return local
+        if statement.kind is Kind.ROLLBACK:
+            return await self._transactions.roll_back(session)
+        transaction = session.transaction
+        if transaction is None:
+            route = self._find_route(session.database)
+            if route is None:
+                return refuse(Failure.UNKNOWN_DATABASE, session.status)
+        else:
+            route = transaction.route
+        return await self._run_on(route, session, statement)
+
+    async def _run_on(
+        self,
+        route: Route,
+        session: Session,
+        statement: Statement,
+    ) -> Reply:
+        if statement.kind in {Kind.BEGIN, Kind.BEGIN_READ}:
+            return self._transactions.begin(session, route, statement)
+        if statement.kind is Kind.COMMIT:
+            return await self._transactions.commit(session, route, statement)
+        if session.transaction is not None:
+            return await self._transactions.run(session, route, statement)
+        return await self._execution.run(session, route, statement)
+
+    def _find_route(self, database: str) -> Route | None:
+        catalog = self._groups.catalog
+        return None if catalog is None else catalog.routes.get(database)
+
+    async def _clean_up(self, caller: Caller) -> None:
+        """Roll back what the caller left open."""
+        session = caller.session
+        if session is None or session.transaction is None:
+            return
+        transaction = session.transaction
+        session.end()
+        with anyio.CancelScope(shield=True):
+            await self._transactions.abandon(transaction)
--- /dev/null
+++ b/catkincrank/gateway/inspection.py
@@ -0,0 +1,110 @@
+"""Finds out the state of endpoints over connections of its own."""
+
+from typing import final
+
+import anyio
+
+from catkincrank.errors import EndpointError
+from catkincrank.gateway.link import EndpointLink, EndpointState
+from catkincrank.gateway.linkpools import LinkPools
+from catkincrank.gateway.roster import EndpointEntry
+
+__all__ = ('Command', 'Inspector')
+
+# An endpoint answers a question about its state within a round trip of 24 ms
+# and the 12 ms that a new connection takes; a slow one five times that.
+_LIMIT_S = 0.4
+
+
+@final
+class Command:
+    """What an endpoint is told; each asks for its state in return.
+
+    Args:
+        name: Name of the link's method.
+        term: Term that goes with it; ``None`` for none.
+    """
+
+    __slots__ = ('name', 'term')
+
+    def __init__(self, name: str, term: int | None = None) -> None:
+        self.name = name
+        self.term = term
+
+    async def send(self, link: EndpointLink) -> EndpointState | None:
+        """Send it on a link."""
+        method = getattr(link, self.name)
+        if self.term is None:
+            return await method()
+        return await method(self.term)
+
+
+FETCH_STATE = Command('fetch_state')
+
+
+@final
+class Inspector:
+    """Keeps a connection for questions to each endpoint that was asked.
+
+    Args:
+        pools: Opens connections.
+    """
+
+    __slots__ = ('_links', '_locks', '_pools')
+
+    def __init__(self, pools: LinkPools) -> None:
+        self._pools = pools
+        self._links: dict[str, EndpointLink] = {}
+        self._locks: dict[str, anyio.Lock] = {}
+
+    async def ask(
+        self,
+        entry: EndpointEntry,
+        command: Command = FETCH_STATE,
+        limit_s: float = _LIMIT_S,
+    ) -> EndpointState | None:
+        """Return an endpoint's state; ``None`` when no answer came.
+
+        An endpoint that is too busy to answer counts as silent.
+        """
+        key = '{0}/{1}'.format(entry.endpoint_id, entry.born_ms)
+        lock = self._locks.setdefault(key, anyio.Lock())
+        with anyio.move_on_after(limit_s):
+            async with lock:
+                try:
+                    return await self._ask_on_link(key, entry, command)
+                except EndpointError:
+                    return None
+        return None
+
+    async def keep(self, keys: set[str]) -> None:
+        """Close connections to endpoints that are not among ``keys``."""
+        for key in set(self._links) - keys:
+            await self._drop(key)  # noqa: WPS476
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self.keep(set())
+
+    async def _ask_on_link(
+        self,
+        key: str,
+        entry: EndpointEntry,
+        command: Command,
+    ) -> EndpointState | None:
+        link = self._links.pop(key, None)
+        if link is None:
+            link = await self._pools.connect(entry)
+        try:
+            state = await command.send(link)
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await link.close()
+            raise
+        self._links[key] = link
+        return state
+
+    async def _drop(self, key: str) -> None:
+        link = self._links.pop(key, None)
+        if link is not None:
+            await link.close()
--- /dev/null
+++ b/catkincrank/gateway/knowledge.py
@@ -0,0 +1,135 @@
+"""Keeps the catalog and the endpoints as the platform's tables say."""
+
+from collections.abc import Callable
+from typing import Protocol, final
+
+import anyio
+
+from catkincrank.gateway.catalog import Catalog
+from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.linkpools import LinkPools
+from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.gateway.rowstore import RowChange
+from catkincrank.logs import log_event
+
+__all__ = ('Documents', 'Knowledge')
+
+# A registration that went may lapse only because the store was away; its
+# endpoint is used on until it should have been back.
+_LAPSE_S = 2.2
+
+
+class Documents(Protocol):
+    """Decodes rows that others write; each platform has its own."""
+
+    config_table: str
+    config_key: str
+    roster_table: str
+    decode_catalog: Callable[[bytes], Catalog]
+    decode_entry: Callable[[str, bytes], EndpointEntry | None]
+
+
+@final
+class Knowledge:
+    """Puts what the tables say into force.
+
+    Args:
+        documents: Decodes rows.
+        groups: What this process knows.
+        pools: Links to the endpoints.
+        count_members: Returns how many processes share the endpoints.
+    """
+
+    __slots__ = ('_count_members', '_documents', '_groups', '_pools')
+
+    def __init__(
+        self,
+        documents: Documents,
+        groups: Groups,
+        pools: LinkPools,
+        count_members: Callable[[], int],
+    ) -> None:
+        self._documents = documents
+        self._groups = groups
+        self._pools = pools
+        self._count_members = count_members
+
+    def take_config(self, changed: tuple[RowChange, ...]) -> None:
+        """Take in a reading of the configuration."""
+        for row in changed:
+            if row.key == self._documents.config_key and row.body:
+                self._accept(row)
+
+    def take_roster(self, changed: tuple[RowChange, ...]) -> None:
+        """Take in a reading of the registrations."""
+        roster = self._groups.roster
+        now = anyio.current_time()
+        for row in changed:
+            entry = row.body and self._documents.decode_entry(row.key, row.body)
+            if entry:
+                self._note(roster.find(row.key), entry)
+                roster.put(entry)
+                self._groups.note_leaving(entry, now)
+            elif roster.drop(row.key) is not None:
+                log_event(
+                    'endpoint_gone', endpoint=row.key, version=row.version
+                )
+        if changed:
+            self.apply()
+            self._groups.wake()
+
+    def apply(self) -> None:
+        """Divide the endpoints' connections among the members."""
+        catalog = self._groups.catalog
+        if catalog is None:
+            return
+        members = max(1, self._count_members())
+        limits = {
+            service.name: share_connections(service.max_connections, members)
+            for service in catalog.services.values()
+        }
+        self._pools.configure(self._groups.roster.list_entries(), limits)
+
+    def _accept(self, row: RowChange) -> None:
+        try:
+            catalog = self._documents.decode_catalog(row.body)
+        except ValueError as error:
+            log_event(
+                'configuration_unreadable',
+                'ERROR',
+                version=row.version,
+                cause=str(error),
+            )
+            return
+        if self._groups.accept(catalog):
+            log_event(
+                'configuration_accepted',
+                version=catalog.version,
+                routes=len(catalog.routes),
+                row_version=row.version,
+            )
+            self.apply()
+
+    def _note(
+        self,
+        before: EndpointEntry | None,
+        entry: EndpointEntry,
+    ) -> None:
+        if before is None or before.is_draining != entry.is_draining:
+            log_event(
+                'endpoint_registered',
+                endpoint=entry.endpoint_id,
+                service=entry.service,
+                leaving=entry.is_draining,
+                primary=entry.claims_primary,
+            )
+
+
+# Connections that no share includes: questions of the holder, and members
+# that the table does not name yet.
+_RESERVED = 2
+
+
+def share_connections(connections: int, members: int) -> int:
+    """Return how many connections one process may hold to an endpoint."""
+    return max(1, (connections - _RESERVED) // members)
--- /dev/null
+++ b/catkincrank/gateway/link.py
@@ -0,0 +1,140 @@
+"""Connections to endpoints that prove log positions themselves."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+from typing import final
+
+from catkincrank.endpoint import TransactionStatus
+from catkincrank.gateway.position import Position
+from catkincrank.gateway.reply import Reply
+from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.gateway.statement import Prepared, Statement
+from catkincrank.registry import Registry
+
+__all__ = ('EndpointLink', 'EndpointState', 'LinkDriver', 'link_drivers')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class EndpointState:
+    """What an endpoint says of its part in the group.
+
+    Attributes:
+        is_primary: Whether it leads.
+        term: Term that it follows or leads.
+        received: Position that its log has received.
+        promised: Highest term that it has been told of.
+    """
+
+    is_primary: bool
+    term: int
+    received: Position
+    promised: int
+
+
+class EndpointLink(ABC):
+    """One connection to one endpoint.
+
+    Every method raises ``EndpointError`` when no whole answer came; the link
+    must then be closed. A cancelled call leaves the link unusable.
+
+    Attributes:
+        values: Session values that are set on the connection.
+        prepared: Names of the statements prepared on it.
+    """
+
+    values: dict[bytes, bytes]
+    prepared: dict[Prepared, bytes]
+
+    @abstractmethod
+    async def run(
+        self,
+        statement: Statement,
+        after: Position | None = None,
+        alias: bytes = b'',
+    ) -> Reply:
+        """Pass on a caller's statement.
+
+        Args:
+            statement: The statement; its identifier and text go unchanged.
+            after: Position that the log must hold, else it is refused.
+            alias: Name of the prepared statement on this connection.
+        """
+
+    @abstractmethod
+    async def begin(
+        self,
+        *,
+        is_read_only: bool,
+        after: Position | None,
+    ) -> Reply:
+        """Begin a transaction."""
+
+    @abstractmethod
+    async def roll_back(self) -> Reply:
+        """Roll the transaction back."""
+
+    @abstractmethod
+    async def configure(
+        self,
+        values: dict[bytes, bytes],
+        prepared: Prepared | None,
+        *,
+        is_reset: bool,
+    ) -> bool:
+        """Set values and prepare a statement, in one round trip.
+
+        Args:
+            values: Values to set.
+            prepared: Statement to prepare, if any.
+            is_reset: Whether to clear what is set and prepared first.
+
+        Returns:
+            Whether the endpoint accepted all of it.
+        """
+
+    @abstractmethod
+    async def fetch_state(self) -> EndpointState | None:
+        """Return the endpoint's state; ``None`` when it is too busy."""
+
+    @abstractmethod
+    async def pause(self, term: int) -> EndpointState | None:
+        """Stop a replica from receiving, until ``term`` has a primary."""
+
+    @abstractmethod
+    async def resume(self) -> EndpointState | None:
+        """Let a replica receive again."""
+
+    @abstractmethod
+    async def demote(self, term: int) -> EndpointState | None:
+        """Make a primary of a term below ``term`` a replica."""
+
+    @abstractmethod
+    async def probe(self) -> None:
+        """Find out whether the endpoint answers."""
+
+    @abstractmethod
+    async def close(self) -> None:
+        """Close without waiting for the endpoint."""
+
+    @property
+    @abstractmethod
+    def status(self) -> TransactionStatus:
+        """The transaction state that the endpoint reported last."""
+
+
+class LinkDriver(ABC):
+    """Opens links to endpoints of one kind."""
+
+    @abstractmethod
+    async def connect(
+        self, entry: EndpointEntry, application: str
+    ) -> EndpointLink:
+        """Open a link that proves to lead to ``entry``.
+
+        Raises:
+            EndpointError: The endpoint could not be reached or refused.
+        """
+
+
+link_drivers: Registry[type[LinkDriver]] = Registry('link driver')
--- /dev/null
+++ b/catkincrank/gateway/linkpools.py
@@ -0,0 +1,221 @@
+"""Pools of links to endpoints, one for each incarnation of an endpoint."""
+
+import itertools
+import random
+from collections.abc import Iterable
+from functools import partial
+from typing import final
+
+import anyio
+from anyio.abc import TaskGroup
+
+from catkincrank.errors import EndpointError
+from catkincrank.fairness import QueueEntry
+from catkincrank.gateway.catalog import Route
+from catkincrank.gateway.link import EndpointLink, LinkDriver
+from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.pool import EndpointPool, PoolOptions, PoolState
+from catkincrank.poolrunner import PoolRunner
+
+__all__ = ('BorrowedLink', 'LinkPools')
+
+# Opening takes the endpoint 12 ms and a round trip; a path that takes longer
+# than this is broken.
+_CONNECT_LIMIT_S = 0.5
+_TICK_INTERVAL_S = 0.1
+# Unused links beyond the first are closed soon, so that other VMs find room.
+# More statements than this cannot be served within any route's time limit.
+_QUEUE_LENGTH = 256
+_OPTIONS = PoolOptions(
+    queue_length=_QUEUE_LENGTH,
+    idle_s=3,
+    kept_idle=1,
+    probe_after_s=5,
+    probe_timeout_s=0.5,
+    max_opening=2,
+    linger_s=0.5,
+)
+_TOP_WEIGHT = 8
+
+
+@final
+class BorrowedLink:
+    """A link held for one statement or transaction.
+
+    Args:
+        entry: The endpoint that it leads to.
+        runner: Its pool.
+        connection_id: Number of the link in the pool.
+    """
+
+    __slots__ = ('_connection_id', '_runner', 'entry', 'is_held', 'link')
+
+    def __init__(
+        self,
+        entry: EndpointEntry,
+        runner: PoolRunner,
+        connection_id: int,
+    ) -> None:
+        self.entry = entry
+        self._runner = runner
+        self._connection_id = connection_id
+        self.link: EndpointLink = runner.connection(connection_id)
+        self.is_held = True
+
+    def give_back(self) -> None:
+        """Return the link; it serves others from now on."""
+        if self.is_held:
+            self.is_held = False
+            self._runner.give_back(self._connection_id)
+
+    def discard(self, *, is_lost: bool = False) -> None:
+        """Close the link, which must not serve anyone else."""
+        if self.is_held:
+            self.is_held = False
+            self._runner.discard(self._connection_id, is_lost=is_lost)
+
+
+@final
+class LinkPools:
+    """Pools by endpoint.
+
+    Args:
+        driver: Opens links.
+        application: Name that links carry.
+        tasks: Runs what takes time.
+    """
+
+    __slots__ = (
+        '_application',
+        '_driver',
+        '_limits',
+        '_numbers',
+        '_runners',
+        '_source',
+        '_tasks',
+    )
+
+    def __init__(
+        self,
+        driver: LinkDriver,
+        application: str,
+        tasks: TaskGroup,
+    ) -> None:
+        self._driver = driver
+        self._application = application
+        self._tasks = tasks
+        self._source = random.Random()
+        self._numbers = itertools.count(1)
+        self._runners: dict[EndpointKey, PoolRunner] = {}
+        self._limits: dict[str, int] = {}
+
+    def configure(
+        self,
+        entries: Iterable[EndpointEntry],
+        limits: dict[str, int],
+    ) -> None:
+        """Bring the registered endpoints into use and drop those that went.
+
+        Args:
+            entries: The endpoints.
+            limits: Links that this process may hold to each endpoint, by
+                service.
+        """
+        self._limits = limits
+        known = {key_of(entry) for entry in entries}
+        for key, runner in tuple(self._runners.items()):
+            if key in known:
+                runner.change_limit(limits.get(key[0], runner.pool.limit))
+                continue
+            runner.set_leaving(is_leaving=True)
+            if not runner.pool.held:
+                self._runners.pop(key)
+
+    async def borrow(
+        self,
+        entry: EndpointEntry,
+        route: Route,
+        deadline: float,
+    ) -> BorrowedLink:
+        """Return a link once one is free.
+
+        Raises:
+            RequestError: Too many requests wait already.
+            EndpointError: The endpoint cannot be reached.
+        """
+        runner = self._find(entry)
+        ticket = runner.ask(
+            QueueEntry(
+                next(self._numbers),
+                route.name,
+                deadline,
+                max(1, _TOP_WEIGHT >> route.priority),
+                entry.service,
+                anyio.current_time(),
+            ),
+        )
+        return BorrowedLink(entry, runner, await runner.wait(ticket))
+
+    def load_of(self, entry: EndpointEntry) -> int:
+        """Return how many requests hold or await a link to an endpoint."""
+        runner = self._runners.get(key_of(entry))
+        if runner is None:
+            return 0
+        return runner.pool.in_use + runner.pool.waiting
+
+    def list_pools(self) -> list[PoolState]:
+        """Return what the state dump shows of each pool."""
+        return [runner.pool.describe() for runner in self._runners.values()]
+
+    async def connect(self, entry: EndpointEntry) -> EndpointLink:
+        """Open a link outside the pools.
+
+        Raises:
+            EndpointError: The endpoint cannot be reached.
+        """
+        with anyio.move_on_after(_CONNECT_LIMIT_S):
+            return await self._driver.connect(entry, self._application)
+        raise EndpointError('no answer', was_sent=False)
+
+    async def run(self) -> None:
+        """Tend the pools until cancelled."""
+        while True:
+            await anyio.sleep(_TICK_INTERVAL_S)
+            for runner in tuple(self._runners.values()):
+                runner.tick()
+
+    async def close(self) -> None:
+        """Close every link."""
+        for runner in tuple(self._runners.values()):
+            await runner.close()  # noqa: WPS476
+
+    def _find(self, entry: EndpointEntry) -> PoolRunner:
+        key = key_of(entry)
+        runner = self._runners.get(key)
+        if runner is None:
+            pool = EndpointPool(
+                entry.endpoint_id,
+                self._limits.get(entry.service, 1),
+                _OPTIONS,
+                self._source,
+            )
+            runner = PoolRunner(pool, partial(self._open, entry), self._tasks)
+            self._runners[key] = runner
+        return runner
+
+    async def _open(self, entry: EndpointEntry, _login: str) -> EndpointLink:
+        return await self.connect(entry)
+
+
+EndpointKey = tuple[str, str, str, int, int]
+
+
+def key_of(entry: EndpointEntry) -> EndpointKey:
+    """Return what tells one incarnation of an endpoint from others."""
+    return (
+        entry.service,
+        entry.endpoint_id,
+        entry.host,
+        entry.port,
+        entry.born_ms,
+    )
--- /dev/null
+++ b/catkincrank/gateway/passing.py
@@ -0,0 +1,167 @@
+"""Passes one statement on to a borrowed link."""
+
+from typing import final
+
+import anyio
+
+from catkincrank.errors import EndpointError
+from catkincrank.gateway.choice import Latencies
+from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.linkpools import BorrowedLink
+from catkincrank.gateway.position import Position
+from catkincrank.gateway.reply import Reply
+from catkincrank.gateway.session import Session
+from catkincrank.gateway.statement import Kind, Statement
+
+__all__ = ('Passer',)
+
+# An endpoint keeps each prepared statement; beyond this many they are cleared.
+_MAX_PREPARED = 64
+
+
+@final
+class Passer:
+    """Passes statements on and keeps what their answers tell.
+
+    Args:
+        groups: Evidence about the groups.
+        latencies: How long endpoints take.
+    """
+
+    __slots__ = ('_groups', '_latencies')
+
+    def __init__(self, groups: Groups, latencies: Latencies) -> None:
+        self._groups = groups
+        self._latencies = latencies
+
+    async def run(
+        self,
+        borrowed: BorrowedLink,
+        session: Session,
+        statement: Statement,
+        after: Position | None = None,
+    ) -> Reply:
+        """Run a statement; the link is discarded unless a whole answer came.
+
+        Raises:
+            EndpointError: No whole answer came, or the link could not be
+                brought into the session's state; ``was_sent`` tells.
+        """
+        link = borrowed.link
+        alias = link.prepared.get(session.prepared.get(statement.name), b'')
+        sent_at = anyio.current_time()
+        try:
+            reply = await link.run(statement, after, alias)
+        except BaseException:
+            borrowed.discard(is_lost=True)
+            raise
+        self._learn(borrowed, reply, sent_at)
+        return reply
+
+    async def begin(
+        self,
+        borrowed: BorrowedLink,
+        *,
+        is_read_only: bool,
+        after: Position | None,
+    ) -> Reply:
+        """Begin a transaction; as ``run``."""
+        sent_at = anyio.current_time()
+        try:
+            reply = await borrowed.link.begin(
+                is_read_only=is_read_only,
+                after=after,
+            )
+        except BaseException:
+            borrowed.discard(is_lost=True)
+            raise
+        self._learn(borrowed, reply, sent_at)
+        return reply
+
+    async def roll_back(self, borrowed: BorrowedLink) -> None:
+        """Roll back and return the link, or close it."""
+        try:
+            reply = await borrowed.link.roll_back()
+        except EndpointError:
+            borrowed.discard(is_lost=True)
+            return
+        except BaseException:
+            borrowed.discard()
+            raise
+        if reply.refusal is None:
+            borrowed.give_back()
+        else:
+            borrowed.discard()
+
+    async def adopt(
+        self,
+        borrowed: BorrowedLink,
+        session: Session,
+        statement: Statement,
+    ) -> None:
+        """Give a link the session's values and the statement it needs.
+
+        Raises:
+            EndpointError: The endpoint did not accept them; nothing ran.
+        """
+        link = borrowed.link
+        wanted = None
+        if statement.kind is Kind.EXECUTE:
+            wanted = session.prepared[statement.name]
+            if wanted in link.prepared:
+                wanted = None
+        is_reset = (
+            len(link.prepared) >= _MAX_PREPARED
+            or not link.values.keys() <= session.values.keys()
+        ) and not _is_open(borrowed)
+        known = {} if is_reset else link.values
+        missing = {
+            name: value
+            for name, value in session.values.items()
+            if known.get(name) != value
+        }
+        if is_reset and statement.kind is Kind.EXECUTE:
+            wanted = session.prepared[statement.name]
+        if not (is_reset or missing or wanted):
+            return
+        await self._configure(borrowed, missing, wanted, is_reset=is_reset)
+
+    async def _configure(
+        self,
+        borrowed: BorrowedLink,
+        missing: dict[bytes, bytes],
+        wanted: object,
+        *,
+        is_reset: bool,
+    ) -> None:
+        try:
+            accepted = await borrowed.link.configure(
+                missing,
+                wanted,
+                is_reset=is_reset,
+            )
+        except EndpointError as error:
+            borrowed.discard(is_lost=True)
+            raise EndpointError(str(error), was_sent=False) from None
+        except BaseException:
+            borrowed.discard(is_lost=True)
+            raise
+        if not accepted:
+            borrowed.discard()
+            raise EndpointError('session state refused', was_sent=False)
+
+    def _learn(
+        self,
+        borrowed: BorrowedLink,
+        reply: Reply,
+        sent_at: float,
+    ) -> None:
+        now = anyio.current_time()
+        entry = borrowed.entry
+        evidence = self._groups.evidence(entry.service)
+        evidence.note(entry.endpoint_id, reply.position, sent_at, now)
+        self._latencies.note(entry.endpoint_id, now - sent_at, now)
+
+
+def _is_open(borrowed: BorrowedLink) -> bool:
+    return borrowed.link.status.value != 'I'
--- /dev/null
+++ b/catkincrank/gateway/placement.py
@@ -0,0 +1,182 @@
+"""Finds an endpoint for a statement and borrows a link to it."""
+
+from dataclasses import dataclass, field
+from typing import final
+
+import anyio
+
+from catkincrank.errors import EndpointError
+from catkincrank.gateway.catalog import Consistency, Route
+from catkincrank.gateway.choice import (
+    Choice,
+    Latencies,
+    choose_reader,
+    require_position,
+)
+from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.linkpools import BorrowedLink, LinkPools
+from catkincrank.gateway.position import Position
+from catkincrank.gateway.reply import Failure, StatementFailed
+from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.verdict import RequestError
+
+__all__ = ('Need', 'Placement')
+
+# Pause before an endpoint that refused or could not be reached is asked again.
+_RETRY_PAUSE_S = 0.05
+# Replies that say that the same statement may run at another endpoint or later.
+_MOVABLE = frozenset(
+    (
+        Failure.BUSY,
+        Failure.LAGGING,
+        Failure.READ_ONLY,
+        Failure.WRONG_ENDPOINT,
+        Failure.OVERLOADED,
+    ),
+)
+
+
+@final
+@dataclass(slots=True)
+class Need:
+    """What a statement needs of an endpoint.
+
+    Attributes:
+        route: Route of the session.
+        mark: Newest own commit of the session.
+        arrived_at: When the statement, or its transaction, arrived.
+        deadline: When waiting on is of no use.
+        is_write: Whether the primary has to run it.
+        excluded: Endpoints that have refused it lately.
+        refused: The last refusal.
+    """
+
+    route: Route
+    mark: Position | None
+    arrived_at: float
+    deadline: float
+    is_write: bool
+    excluded: set[str] = field(default_factory=set)
+    refused: Failure = Failure.OVERLOADED
+
+    @property
+    def needs_primary(self) -> bool:
+        """Whether only the primary will do."""
+        return self.is_write or self.route.consistency is Consistency.STRONG
+
+    def exclude(self, endpoint_id: str, failure: Failure) -> None:
+        """Remember that an endpoint refused."""
+        self.refused = failure
+        if not self.needs_primary:
+            self.excluded.add(endpoint_id)
+
+
+@final
+class Placement:
+    """Places statements on endpoints.
+
+    Args:
+        groups: Evidence about the groups.
+        pools: Links.
+        latencies: How long endpoints take.
+    """
+
+    __slots__ = ('_groups', '_latencies', '_pools')
+
+    def __init__(
+        self,
+        groups: Groups,
+        pools: LinkPools,
+        latencies: Latencies,
+    ) -> None:
+        self._groups = groups
+        self._pools = pools
+        self._latencies = latencies
+
+    async def place(self, need: Need) -> tuple[Choice, BorrowedLink]:
+        """Return where a statement runs, with a link to it.
+
+        Raises:
+            StatementFailed: No endpoint can run it in time.
+        """
+        while True:
+            choice = await self._await_choice(need)
+            try:
+                borrowed = await self._pools.borrow(
+                    choice.entry,
+                    need.route,
+                    need.deadline,
+                )
+            except EndpointError:
+                need.exclude(choice.entry.endpoint_id, Failure.OVERLOADED)
+                await self.pause(need)
+                continue
+            except RequestError as error:
+                raise StatementFailed(
+                    Failure.OVERLOADED,
+                    str(error),
+                ) from None
+            return choice, borrowed
+
+    def may_move(self, failure: Failure) -> bool:
+        """Return whether a refused statement may be tried elsewhere."""
+        return failure in _MOVABLE
+
+    async def pause(self, need: Need) -> None:
+        """Wait a little before the next try.
+
+        Raises:
+            StatementFailed: The deadline would pass.
+        """
+        resume_at = anyio.current_time() + _RETRY_PAUSE_S
+        if resume_at >= need.deadline:
+            raise StatementFailed(need.refused)
+        if need.needs_primary:
+            await self._groups.wait(resume_at)
+
+    async def _await_choice(self, need: Need) -> Choice:
+        while True:
+            now = anyio.current_time()
+            choice = self._choose(need, now)
+            if choice is not None:
+                return choice
+            if now >= need.deadline:
+                raise StatementFailed(need.refused)
+            if need.excluded:
+                need.excluded.clear()
+                await anyio.sleep(_RETRY_PAUSE_S)
+                continue
+            await self._groups.wait(min(need.deadline, now + _RETRY_PAUSE_S))
+
+    def _choose(self, need: Need, now: float) -> Choice | None:
+        service = need.route.service
+        evidence = self._groups.evidence(service)
+        if need.needs_primary:
+            return self._choose_primary(service, now)
+        required = require_position(
+            need.route,
+            evidence,
+            need.mark,
+            need.arrived_at,
+        )
+        entry = choose_reader(
+            self._groups.roster.of_service(service),
+            required,
+            need.excluded,
+            lambda one: self._cost(one, now),
+        )
+        if entry is None:
+            return self._choose_primary(service, now)
+        return Choice(entry, required)
+
+    def _choose_primary(self, service: str, now: float) -> Choice | None:
+        found = self._groups.find_primary(service, now)
+        if found is None:
+            return None
+        grant, entry = found
+        reached = self._groups.evidence(service).reached
+        return Choice(entry, reached.get(entry.endpoint_id), grant.term)
+
+    def _cost(self, entry: EndpointEntry, now: float) -> float:
+        expected = self._latencies.expect(entry, now)
+        return expected * (1 + self._pools.load_of(entry))
--- /dev/null
+++ b/catkincrank/gateway/roster.py
@@ -0,0 +1,74 @@
+"""Endpoints that registered themselves, by service."""
+
+from dataclasses import dataclass
+from typing import final
+
+__all__ = ('EndpointEntry', 'Roster')
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class EndpointEntry:
+    """What an endpoint says of itself.
+
+    Attributes:
+        endpoint_id: Its identifier.
+        service: Group that it belongs to.
+        host: IP number.
+        port: TCP port.
+        zone: Availability zone.
+        slots: Statements that it runs at once.
+        is_draining: Whether it is about to leave.
+        claims_primary: Whether it takes itself for the primary; a hint, since
+            a replaced primary may not know yet.
+        born_ms: Start of this incarnation, in Unix milliseconds; 0 if unknown.
+    """
+
+    endpoint_id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    is_draining: bool = False
+    claims_primary: bool = False
+    born_ms: int = 0
+
+
+@final
+class Roster:
+    """Registered endpoints."""
+
+    __slots__ = ('_entries', 'version')
+
+    def __init__(self) -> None:
+        self._entries: dict[str, EndpointEntry] = {}
+        self.version = 0
+
+    def put(self, entry: EndpointEntry) -> None:
+        """Add or replace an entry."""
+        self._entries[entry.endpoint_id] = entry
+
+    def drop(self, endpoint_id: str) -> EndpointEntry | None:
+        """Remove an entry; return it if it was there."""
+        return self._entries.pop(endpoint_id, None)
+
+    def replace(self, entries: dict[str, EndpointEntry]) -> None:
+        """Replace all entries."""
+        self._entries = entries
+
+    def find(self, endpoint_id: str) -> EndpointEntry | None:
+        """Return an entry."""
+        return self._entries.get(endpoint_id)
+
+    def of_service(self, service: str) -> list[EndpointEntry]:
+        """Return the entries of one service."""
+        return [
+            entry
+            for entry in self._entries.values()
+            if entry.service == service
+        ]
+
+    def list_entries(self) -> list[EndpointEntry]:
+        """Return all entries."""
+        return list(self._entries.values())
--- /dev/null
+++ b/catkincrank/gateway/session.py
@@ -0,0 +1,173 @@
+"""State of one caller's session, and the statements answered without I/O."""
+
+from collections.abc import Callable, Mapping
+from typing import final
+
+from catkincrank.endpoint import TransactionStatus
+from catkincrank.gateway.catalog import Route
+from catkincrank.gateway.linkpools import BorrowedLink
+from catkincrank.gateway.position import Position
+from catkincrank.gateway.reply import Failure, Reply, refuse
+from catkincrank.gateway.statement import Kind, Prepared, Statement
+
+__all__ = ('Session', 'Transaction', 'answer_locally')
+
+_LocalAnswer = Callable[['Session', Statement], Reply | None]
+
+
+@final
+class Transaction:
+    """A caller's open transaction.
+
+    Attributes:
+        route: Route of the session when it began.
+        is_read_only: Whether the caller said that it only reads.
+        borrowed: The link that it runs on, from its first statement on.
+        term: Term of the primary that it runs on; 0 at a replica.
+        has_written: Whether a write of it succeeded.
+        statements: Statements that have run.
+        touched_at: When it last did something, in seconds.
+        arrived_at: When it began, in seconds.
+    """
+
+    __slots__ = (
+        'arrived_at',
+        'borrowed',
+        'has_written',
+        'is_read_only',
+        'route',
+        'statements',
+        'term',
+        'touched_at',
+    )
+
+    def __init__(
+        self,
+        route: Route,
+        now: float,
+        *,
+        is_read_only: bool,
+    ) -> None:
+        self.route = route
+        self.is_read_only = is_read_only
+        self.borrowed: BorrowedLink | None = None
+        self.term = 0
+        self.has_written = False
+        self.statements = 0
+        self.touched_at = now
+        self.arrived_at = now
+
+    def drop(self) -> None:
+        """Close its link, which rolls it back."""
+        if self.borrowed is not None:
+            self.borrowed.discard()
+            self.borrowed = None
+
+
+@final
+class Session:
+    """A caller's session.
+
+    Attributes:
+        database: Database that it named.
+        user: Who it says it is.
+        status: Transaction state that the caller was told.
+        values: Session values that it set.
+        prepared: What its prepared names run.
+        transaction: Its open transaction.
+        mark: Newest own commit.
+    """
+
+    __slots__ = (
+        'database',
+        'mark',
+        'prepared',
+        'status',
+        'transaction',
+        'user',
+        'values',
+    )
+
+    def __init__(self, database: str, user: str) -> None:
+        self.database = database
+        self.user = user
+        self.status = TransactionStatus.IDLE
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: dict[bytes, Prepared] = {}
+        self.transaction: Transaction | None = None
+        self.mark: Position | None = None
+
+    def advance(self, position: Position | None) -> None:
+        """Take in the position of an own commit."""
+        if position is None:
+            return
+        if self.mark is None or position > self.mark:
+            self.mark = position
+
+    def writes(self, statement: Statement) -> bool:
+        """Return whether a statement writes."""
+        if statement.kind is Kind.EXECUTE:
+            return self.prepared[statement.name].is_write
+        return statement.kind is Kind.WRITE
+
+    def fail(self) -> None:
+        """Mark the open transaction as failed."""
+        self.status = TransactionStatus.FAILED
+
+    def end(self) -> None:
+        """Forget the transaction, which has ended at the endpoint."""
+        self.transaction = None
+        self.status = TransactionStatus.IDLE
+
+
+def answer_locally(session: Session, statement: Statement) -> Reply | None:
+    """Return the answer to a statement that needs no endpoint."""
+    is_failed = session.status is TransactionStatus.FAILED
+    if is_failed and statement.kind not in _ENDING_KINDS:
+        return refuse(Failure.MALFORMED, session.status)
+    answer = _LOCAL_ANSWERS.get(statement.kind)
+    return None if answer is None else answer(session, statement)
+
+
+def _set_value(session: Session, statement: Statement) -> Reply:
+    session.values[statement.name] = statement.operand
+    return Reply(status=session.status)
+
+
+def _prepare(session: Session, statement: Statement) -> Reply:
+    session.prepared[statement.name] = statement.prepared
+    return Reply(status=session.status)
+
+
+def _close(session: Session, statement: Statement) -> Reply:
+    if session.prepared.pop(statement.name, None) is None:
+        return refuse(Failure.UNKNOWN_NAME, session.status)
+    return Reply(status=session.status)
+
+
+def _check_name(session: Session, statement: Statement) -> Reply | None:
+    if statement.name in session.prepared:
+        return None
+    return refuse(Failure.UNKNOWN_NAME, session.status)
+
+
+def _refuse_unreadable(session: Session, _statement: Statement) -> Reply:
+    return refuse(Failure.MALFORMED, session.status)
+
+
+def _check_open(session: Session, _statement: Statement) -> Reply | None:
+    if session.status is TransactionStatus.IDLE:
+        return refuse(Failure.MALFORMED, session.status)
+    return None
+
+
+_ENDING_KINDS = frozenset((Kind.COMMIT, Kind.ROLLBACK))
+_LOCAL_ANSWERS: Mapping[Kind, _LocalAnswer] = {  # noqa: WPS407
+    Kind.SET: _set_value,
+    Kind.PREPARE: _prepare,
+    Kind.CLOSE: _close,
+    Kind.EXECUTE: _check_name,
+    Kind.UNREADABLE: _refuse_unreadable,
+    Kind.COMMIT: _check_open,
+    Kind.ROLLBACK: _check_open,
+}
--- /dev/null
+++ b/catkincrank/gateway/statusserver.py
@@ -0,0 +1,104 @@
+"""Answers the balancer, and serves metrics and the state dump."""
+
+import dataclasses
+from typing import TYPE_CHECKING, Any, final
+
+import anyio
+import msgspec
+
+from catkincrank.httpserver import HttpRequest, HttpResponse, HttpServer
+from catkincrank.metrics import CONTENT_TYPE
+
+if TYPE_CHECKING:
+    from catkincrank.gateway.daemon import Gateway
+
+__all__ = ('StatusServer',)
+
+_UNAVAILABLE = 503
+
+
+@final
+class StatusServer:
+    """Two HTTP servers of a process.
+
+    Args:
+        gateway: The process.
+    """
+
+    __slots__ = ('_gateway',)
+
+    def __init__(self, gateway: 'Gateway') -> None:
+        self._gateway = gateway
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        options = self._gateway.options
+        readiness = HttpServer({'GET /v1/ready': self._say_ready})
+        status = HttpServer(
+            {'GET /metrics': self._render, 'GET /state': self._dump},
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                readiness.serve,
+                options.readiness.host,
+                options.readiness.port,
+            )
+            tasks.start_soon(
+                status.serve,
+                options.metrics.host,
+                options.metrics.port,
+            )
+
+    async def _say_ready(self, _request: HttpRequest) -> HttpResponse:
+        drain = self._gateway.drain
+        if drain.is_listening and not drain.is_started:
+            return HttpResponse(b'{}')
+        return HttpResponse(b'{}', _UNAVAILABLE)
+
+    async def _render(self, _request: HttpRequest) -> HttpResponse:
+        return HttpResponse(
+            self._gateway.metrics.render(),
+            content_type=CONTENT_TYPE,
+        )
+
+    async def _dump(self, _request: HttpRequest) -> HttpResponse:
+        return HttpResponse(msgspec.json.encode(describe(self._gateway)))
+
+
+def describe(gateway: 'Gateway') -> dict[str, Any]:
+    """Return the state dump of a process."""
+    now = anyio.current_time()
+    catalog = gateway.groups.catalog
+    ledger = gateway.readings.ledger
+    return {
+        'name': ledger.me.name,
+        'incarnation': ledger.me.incarnation,
+        'configuration': catalog and catalog.version,
+        'callers': len(gateway.front.callers),
+        'draining': gateway.drain.is_started,
+        'duty_token': gateway.failover.tenure.token,
+        'members': sorted(ledger.members),
+        'readings': {
+            copy.table: {
+                'version': copy.version,
+                'age_s': round(now - copy.read_at, 3),
+            }
+            for copy in gateway.readings.copies
+            if copy.is_loaded
+        },
+        'groups': {
+            service: {
+                'primary': record.primary,
+                'term': record.term,
+                'replacing': record.is_replacing,
+                'granted': gateway.groups.evidence(service).holds(
+                    record.term,
+                    now,
+                ),
+            }
+            for service, (_, record) in ledger.records.items()
+        },
+        'pools': [
+            dataclasses.asdict(pool) for pool in gateway.pools.list_pools()
+        ],
+    }
--- /dev/null
+++ b/catkincrank/gateway/supervision.py
@@ -0,0 +1,149 @@
+"""Watches the primaries while this process holds the duty to replace them."""
+
+from typing import final
+
+import anyio
+
+from catkincrank.gateway.fleetrecords import GroupRecord, MemberRecord
+from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.inspection import Inspector
+from catkincrank.gateway.ledger import Ledger
+from catkincrank.gateway.peermessages import ReachQuery, ReachReply
+from catkincrank.gateway.peers import ask_peer
+from catkincrank.gateway.succession import Succession
+from catkincrank.gateway.suspicion import Cause, Sighting, count_votes, judge
+from catkincrank.gateway.tenure import Tenure
+from catkincrank.logs import log_event
+
+__all__ = ('Supervision',)
+
+# Pause between two questions to a primary, in seconds; shorter while one is
+# unanswered.
+_INTERVAL_S = 0.4
+_SUSPECT_INTERVAL_S = 0.1
+_VOTE_LIMIT_S = 0.6
+
+
+@final
+class _Watch:
+    """What the holder remembers of one primary."""
+
+    __slots__ = ('missed', 'missing_since')
+
+    def __init__(self) -> None:
+        self.missed = 0
+        self.missing_since: float | None = None
+
+
+@final
+class Supervision:
+    """Watches every group.
+
+    Args:
+        groups: What is known of the groups.
+        ledger: The fleet's table.
+        tenure: The duty to replace primaries.
+        inspector: Talks to endpoints.
+        succession: Carries out replacements.
+    """
+
+    __slots__ = (
+        '_groups',
+        '_inspector',
+        '_ledger',
+        '_succession',
+        '_tenure',
+        '_watched',
+    )
+
+    def __init__(
+        self,
+        groups: Groups,
+        ledger: Ledger,
+        tenure: Tenure,
+        inspector: Inspector,
+        succession: Succession,
+    ) -> None:
+        self._groups = groups
+        self._ledger = ledger
+        self._tenure = tenure
+        self._inspector = inspector
+        self._succession = succession
+        self._watched: set[str] = set()
+
+    async def answer(self, query: ReachQuery) -> ReachReply:
+        """Tell a peer whether an endpoint answers this process."""
+        entry = self._groups.roster.find(query.endpoint)
+        if entry is None:
+            return ReachReply(is_reachable=False)
+        state = await self._inspector.ask(entry)
+        return ReachReply(is_reachable=state is not None)
+
+    async def run(self) -> None:
+        """Watch each group of the catalog, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                catalog = self._groups.catalog
+                services = set(catalog.services) if catalog else set()
+                for service in services - self._watched:
+                    self._watched.add(service)
+                    tasks.start_soon(self._watch, service)
+                await anyio.sleep(_INTERVAL_S)
+
+    async def _watch(self, service: str) -> None:
+        watch = _Watch()
+        while True:
+            if not (self._tenure.is_mine and self._tenure.is_settled):
+                watch = _Watch()
+                await anyio.sleep(_INTERVAL_S)
+                continue
+            await self._inspect(service, watch)
+            is_calm = not watch.missed
+            await anyio.sleep(_INTERVAL_S if is_calm else _SUSPECT_INTERVAL_S)
+
+    async def _inspect(self, service: str, watch: _Watch) -> None:
+        found = self._ledger.records.get(service)
+        if found is None:
+            await self._succession.record_first(service)
+            return
+        record = found[1]
+        cause = judge(record, await self._look(record, watch))
+        if cause is Cause.UNREACHABLE and not await self._poll_peers(record):
+            log_event(
+                'primary_partly_reachable',
+                service=service,
+                endpoint=record.primary,
+            )
+            return
+        if cause is not None:
+            await self._succession.replace(service, cause)
+            watch.missed = 0
+            watch.missing_since = None
+
+    async def _look(self, record: GroupRecord, watch: _Watch) -> Sighting:
+        now = anyio.current_time()
+        entry = self._groups.roster.find(record.primary)
+        if entry is None:
+            if watch.missing_since is None:
+                watch.missing_since = now
+            return Sighting(None, None, 0, now - watch.missing_since)
+        watch.missing_since = None
+        state = await self._inspector.ask(entry)
+        watch.missed = watch.missed + 1 if state is None else 0
+        return Sighting(entry, state, watch.missed, 0)
+
+    async def _poll_peers(self, record: GroupRecord) -> bool:
+        """Return whether peers agree that the primary cannot be reached."""
+        votes: list[bool | None] = []
+        query = ReachQuery(record.service, record.primary)
+
+        async def ask(member: MemberRecord) -> None:  # noqa: WPS430
+            reply = await ask_peer(member, query, _VOTE_LIMIT_S)
+            is_answer = isinstance(reply, ReachReply)
+            votes.append(reply.is_reachable if is_answer else None)
+
+        async with anyio.create_task_group() as tasks:
+            for member in self._ledger.members.values():
+                if member.name != self._ledger.me.name:
+                    tasks.start_soon(ask, member)
+        return count_votes(votes)
--- /dev/null
+++ b/catkincrank/gateway/transactions.py
@@ -0,0 +1,299 @@
+"""Runs callers' transactions, each on one link."""
+
+from typing import final
+
+import anyio
+
+from catkincrank.endpoint import TransactionStatus
+from catkincrank.errors import EndpointError
+from catkincrank.gateway.catalog import Route
+from catkincrank.gateway.choice import Choice
+from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.linkpools import BorrowedLink
+from catkincrank.gateway.passing import Passer
+from catkincrank.gateway.placement import Need, Placement
+from catkincrank.gateway.reply import Failure, Reply, StatementFailed
+from catkincrank.gateway.session import Session, Transaction
+from catkincrank.gateway.statement import Kind, Statement
+
+__all__ = ('Transactions',)
+
+# Pause before a busy endpoint is asked again within a transaction.
+_BUSY_PAUSE_S = 0.03
+_ROLLBACK_LIMIT_S = 1.0
+
+
+@final
+class Transactions:
+    """Runs statements of transactions.
+
+    Args:
+        groups: Evidence about the groups.
+        placement: Finds endpoints.
+        passer: Passes statements on.
+    """
+
+    __slots__ = ('_groups', '_passer', '_placement')
+
+    def __init__(
+        self,
+        groups: Groups,
+        placement: Placement,
+        passer: Passer,
+    ) -> None:
+        self._groups = groups
+        self._placement = placement
+        self._passer = passer
+
+    def begin(
+        self,
+        session: Session,
+        route: Route,
+        statement: Statement,
+    ) -> Reply:
+        """Open a transaction; its link is borrowed by its first statement."""
+        if session.status is not TransactionStatus.IDLE:
+            raise StatementFailed(Failure.MALFORMED, 'a transaction is open')
+        session.transaction = Transaction(
+            route,
+            anyio.current_time(),
+            is_read_only=statement.kind is Kind.BEGIN_READ,
+        )
+        session.status = TransactionStatus.OPEN
+        return Reply(status=session.status)
+
+    async def run(
+        self,
+        session: Session,
+        route: Route,
+        statement: Statement,
+    ) -> Reply:
+        """Run a statement of the open transaction.
+
+        Raises:
+            StatementFailed: The transaction has failed; nothing is kept.
+        """
+        transaction = session.transaction
+        deadline = anyio.current_time() + route.timeout_s
+        try:
+            reply = await self._run_first(
+                session, transaction, route, statement, deadline
+            )
+        except EndpointError as error:
+            transaction.drop()
+            session.fail()
+            raise StatementFailed(Failure.ABORTED, str(error)) from None
+        except StatementFailed:
+            transaction.drop()
+            session.fail()
+            raise
+        if reply.refusal is not None:
+            await self.abandon(transaction)
+            session.fail()
+            return _with_status(reply, session.status)
+        transaction.statements += 1
+        if session.writes(statement):
+            transaction.has_written = True
+        return _with_status(reply, session.status)
+
+    async def commit(
+        self,
+        session: Session,
+        route: Route,
+        statement: Statement,
+    ) -> Reply:
+        """Commit the open transaction.
+
+        Raises:
+            StatementFailed: Says whether the commit may have taken effect.
+        """
+        transaction = session.transaction
+        if session.status is TransactionStatus.FAILED or transaction is None:
+            session.end()
+            raise StatementFailed(Failure.ABORTED, 'the transaction had failed')
+        deadline = anyio.current_time() + route.timeout_s
+        try:  # noqa: WPS501
+            return await self._commit(
+                session, transaction, route, statement, deadline
+            )
+        finally:
+            transaction.drop()
+            session.end()
+
+    async def roll_back(self, session: Session) -> Reply:
+        """Roll the open transaction back."""
+        transaction = session.transaction
+        session.end()
+        if transaction is not None:
+            await self.abandon(transaction)
+        return Reply(status=session.status)
+
+    async def abandon(self, transaction: Transaction) -> None:
+        """Roll back at the endpoint and return the link."""
+        borrowed = transaction.borrowed
+        transaction.borrowed = None
+        if borrowed is None or not borrowed.is_held:
+            return
+        with anyio.move_on_after(_ROLLBACK_LIMIT_S, shield=True):
+            await self._passer.roll_back(borrowed)
+        borrowed.discard()
+
+    async def _commit(
+        self,
+        session: Session,
+        transaction: Transaction,
+        route: Route,
+        statement: Statement,
+        deadline: float,
+    ) -> Reply:
+        has_written = transaction.has_written
+        try:
+            reply = await self._run_first(
+                session, transaction, route, statement, deadline
+            )
+        except EndpointError as error:
+            is_doubt = has_written and error.was_sent
+            raise StatementFailed(
+                Failure.IN_DOUBT if is_doubt else Failure.ABORTED,
+                str(error),
+            ) from None
+        if reply.refusal is not None:
+            return _with_status(reply, TransactionStatus.IDLE)
+        if has_written:
+            evidence = self._groups.evidence(route.service)
+            if not evidence.holds(transaction.term, anyio.current_time()):
+                raise StatementFailed(
+                    Failure.IN_DOUBT,
+                    'the grant of the primary ended before its answer came',
+                )
+            session.advance(reply.position)
+        if reply.status is TransactionStatus.IDLE:
+            transaction.borrowed.give_back()
+        return reply
+
+    async def _run_first(
+        self,
+        session: Session,
+        transaction: Transaction,
+        route: Route,
+        statement: Statement,
+        deadline: float,
+    ) -> Reply:
+        """Run a statement; the first one may move between endpoints."""
+        if transaction.borrowed is not None:
+            return await self._run_here(
+                session, transaction, statement, deadline
+            )
+        need = Need(
+            route,
+            session.mark,
+            transaction.arrived_at,
+            deadline,
+            not transaction.is_read_only,
+        )
+        while True:
+            choice, borrowed = await self._placement.place(need)
+            reply = await self._start(
+                session, transaction, statement, need, choice, borrowed
+            )
+            if reply is not None:
+                return reply
+            await self._placement.pause(need)
+
+    async def _start(
+        self,
+        session: Session,
+        transaction: Transaction,
+        statement: Statement,
+        need: Need,
+        choice: Choice,
+        borrowed: BorrowedLink,
+    ) -> Reply | None:
+        """Begin and run the first statement; ``None`` to try elsewhere."""
+        endpoint_id = choice.entry.endpoint_id
+        try:
+            begun = await self._begin(
+                session, transaction, statement, need, choice, borrowed
+            )
+        except EndpointError:
+            need.exclude(endpoint_id, Failure.OVERLOADED)
+            return None
+        if begun.refusal is not None:
+            borrowed.give_back()
+            need.exclude(endpoint_id, begun.refusal.failure)
+            return None
+        transaction.borrowed = borrowed
+        transaction.term = choice.term
+        try:
+            reply = await self._run_here(
+                session, transaction, statement, need.deadline
+            )
+        except EndpointError:
+            if statement.kind is Kind.COMMIT:
+                raise
+            transaction.drop()
+            need.exclude(endpoint_id, Failure.OVERLOADED)
+            return None
+        failure = reply.refusal and reply.refusal.failure
+        if failure is None or not self._placement.may_move(failure):
+            return reply
+        await self.abandon(transaction)
+        need.exclude(endpoint_id, failure)
+        return None
+
+    async def _begin(
+        self,
+        session: Session,
+        transaction: Transaction,
+        statement: Statement,
+        need: Need,
+        choice: Choice,
+        borrowed: BorrowedLink,
+    ) -> Reply:
+        with anyio.CancelScope(deadline=need.deadline):
+            await self._passer.adopt(borrowed, session, statement)
+            return await self._passer.begin(
+                borrowed,
+                is_read_only=transaction.is_read_only,
+                after=choice.after,
+            )
+        borrowed.discard(is_lost=True)
+        raise EndpointError('no answer in time', was_sent=False)
+
+    async def _run_here(
+        self,
+        session: Session,
+        transaction: Transaction,
+        statement: Statement,
+        deadline: float,
+    ) -> Reply:
+        """Run a statement on the transaction's link; ask again while busy."""
+        borrowed = transaction.borrowed
+        was_sent = False
+        with anyio.CancelScope(deadline=deadline):
+            await self._passer.adopt(borrowed, session, statement)
+            was_sent = True
+            while True:
+                reply = await self._passer.run(borrowed, session, statement)
+                if not _is_busy(reply):
+                    return reply
+                await anyio.sleep(_BUSY_PAUSE_S)
+        raise EndpointError('no answer in time', was_sent=was_sent)
+
+
+def _is_busy(reply: Reply) -> bool:
+    if reply.refusal is None or reply.status is not TransactionStatus.OPEN:
+        return False
+    return reply.refusal.failure is Failure.BUSY
+
+
+def _with_status(reply: Reply, status: TransactionStatus) -> Reply:
+    if reply.status is status:
+        return reply
+    return Reply(
+        reply.rows,
+        reply.signature,
+        reply.refusal,
+        status,
+        reply.position,
+    )
--- /dev/null
+++ b/catkincrank/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter for the users' platform: names, formats and calls, no decisions."""
--- /dev/null
+++ b/catkincrank/platform/callers.py
@@ -0,0 +1,167 @@
+"""Callers' side of the session protocol: requests in, replies out."""
+
+from typing import final
+
+from anyio.abc import ByteStream
+
+from catkincrank.endpoint import TransactionStatus
+from catkincrank.gateway.callers import (
+    CallerCodec,
+    Startup,
+    Terminate,
+    caller_codecs,
+)
+from catkincrank.gateway.reply import Failure, Refusal, Reply, refuse
+from catkincrank.gateway.statement import Kind, Prepared, Statement
+from catkincrank.platform.lines import LineReader
+from catkincrank.platform.words import FAILURE_WORDS
+
+__all__ = ('LineCodec',)
+
+_MODES = {b'READ': False, b'WRITE': True}  # noqa: WPS407
+_BARE_KINDS = {  # noqa: WPS407
+    b'BEGIN': Kind.BEGIN,
+    b'BEGIN READ': Kind.BEGIN_READ,
+    b'COMMIT': Kind.COMMIT,
+    b'ROLLBACK': Kind.ROLLBACK,
+}
+
+
+@caller_codecs.register('lines')
+@final
+class LineCodec(CallerCodec):
+    """Reads requests of one caller and writes the replies.
+
+    Args:
+        stream: The caller's connection.
+    """
+
+    __slots__ = ('_reader', '_stream')
+
+    def __init__(self, stream: ByteStream) -> None:
+        self._stream = stream
+        self._reader = LineReader(stream)
+
+    @property
+    def has_input(self) -> bool:
+        """Whether a part of a request has arrived."""
+        return self._reader.has_bytes
+
+    async def read_startup(self) -> Startup | None:
+        """Return what the caller asks for; ``None`` if it cannot be read."""
+        word, *fields = (await self._reader.read()).split(b' ')
+        if word != b'STARTUP' or not fields:
+            return None
+        return Startup(
+            fields[0].decode('utf-8', 'replace'),
+            b' '.join(fields[1:]).decode('utf-8', 'replace'),
+        )
+
+    async def read_request(self) -> Statement | Terminate:
+        """Return the next request."""
+        line = await self._reader.read()
+        if line == b'TERMINATE':
+            return Terminate()
+        word, _, rest = line.partition(b' ')
+        request_id, _, text = rest.partition(b' ')
+        if word != b'QUERY' or not request_id:
+            return Statement(Kind.UNREADABLE, request_id, text)
+        return parse_statement(request_id, text)
+
+    async def welcome(self) -> None:
+        """Tell the caller that its session is open."""
+        await self._stream.send(b'READY I -\r\n')
+
+    async def turn_away(self, failure: Failure) -> None:
+        """Tell the caller that it gets no session."""
+        refusal = refuse(failure, TransactionStatus.IDLE).refusal
+        await self._stream.send(_encode_refusal(refusal))
+
+    async def send(self, reply: Reply) -> None:
+        """Send the whole reply to one request."""
+        lines = [b'ROW %b\r\n' % row for row in reply.rows]
+        if reply.refusal is None:
+            lines.append(b'COMPLETE %b\r\n' % (reply.signature or b'-'))
+        else:
+            lines.append(_encode_refusal(reply.refusal))
+        lines.append(b'READY %b -\r\n' % reply.status.value.encode('ascii'))
+        await self._stream.send(b''.join(lines))
+
+
+def parse_statement(request_id: bytes, text: bytes) -> Statement:
+    """Return the statement that ``text`` spells."""
+    bare = _BARE_KINDS.get(text)
+    if bare is not None:
+        return Statement(bare, request_id, text)
+    word, _, rest = text.partition(b' ')
+    name, _, operand = rest.partition(b' ')
+    parse = _PARSERS.get(word)
+    if parse is None or not name:
+        return Statement(Kind.UNREADABLE, request_id, text)
+    return parse(Statement(Kind.UNREADABLE, request_id, text, name, operand))
+
+
+def _parse_read(found: Statement) -> Statement:
+    if found.operand:
+        return found
+    return _as_kind(found, Kind.READ)
+
+
+def _parse_write(found: Statement) -> Statement:
+    if not found.operand:
+        return found
+    return _as_kind(found, Kind.WRITE)
+
+
+def _parse_set(found: Statement) -> Statement:
+    return _as_kind(found, Kind.SET)
+
+
+def _parse_close(found: Statement) -> Statement:
+    return _as_kind(found, Kind.CLOSE)
+
+
+def _parse_execute(found: Statement) -> Statement:
+    if not found.operand:
+        return found
+    return _as_kind(found, Kind.EXECUTE)
+
+
+def _parse_prepare(found: Statement) -> Statement:
+    mode, _, shape = found.operand.partition(b' ')
+    if mode not in _MODES or not shape:
+        return found
+    return Statement(
+        Kind.PREPARE,
+        found.request_id,
+        found.text,
+        found.name,
+        prepared=Prepared(_MODES[mode], shape),
+    )
+
+
+def _as_kind(found: Statement, kind: Kind) -> Statement:
+    return Statement(
+        kind,
+        found.request_id,
+        found.text,
+        found.name,
+        found.operand,
+    )
+
+
+_PARSERS = {  # noqa: WPS407
+    b'READ': _parse_read,
+    b'WRITE': _parse_write,
+    b'SET': _parse_set,
+    b'PREPARE': _parse_prepare,
+    b'EXECUTE': _parse_execute,
+    b'CLOSE': _parse_close,
+}
+
+
+def _encode_refusal(refusal: Refusal) -> bytes:
+    return b'ERROR %b %b\r\n' % (
+        FAILURE_WORDS[refusal.failure],
+        refusal.detail or b'-',
+    )
--- /dev/null
+++ b/catkincrank/platform/documents.py
@@ -0,0 +1,150 @@
+"""Decodes the operator's configuration and the endpoints' registrations."""
+
+from typing import Any
+
+import msgspec
+
+from catkincrank.gateway.catalog import Catalog, Consistency, Route, Service
+from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.logs import log_event
+
+__all__ = (
+    'CONFIG_KEY',
+    'CONFIG_TABLE',
+    'ROSTER_TABLE',
+    'decode_catalog',
+    'decode_entry',
+)
+
+CONFIG_TABLE = 'op'
+CONFIG_KEY = 'config'
+ROSTER_TABLE = 'servers'
+_MS = 1000
+_CONSISTENCIES = {  # noqa: WPS407
+    'primary': Consistency.STRONG,
+    'bounded_staleness': Consistency.BOUNDED,
+    'read_your_writes': Consistency.SESSION,
+}
+_DRAINING = 'draining'
+_STATES = frozenset(('ready', _DRAINING))
+_ROLES = {'primary': True, 'replica': False}  # noqa: WPS407
+
+
+class _Route(msgspec.Struct):
+    """A route; ``host`` is the name of the database that callers give."""
+
+    name: str
+    host: str
+    type: str
+    service: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    max_staleness_ms: float = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int
+    sync_replicas: int = 0
+
+
+class _Limits(msgspec.Struct):
+    tx_idle_ms: float = 3000
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Entry(msgspec.Struct):
+    """An endpoint's registration.
+
+    ``seq`` counts its writes and is of no use here; ``slots`` are statements
+    that it runs at once, not connections.
+    """
+
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    db_role: str
+    born: int = 0
+    cold_remaining_ms: float = 0
+
+
+def decode_catalog(body: bytes) -> Catalog:
+    """Return the configuration that ``body`` holds.
+
+    Raises:
+        ValueError: It cannot be read.
+    """
+    found = msgspec.json.decode(body, type=_Config)
+    routes: dict[str, Route] = {}
+    for route in found.routes:
+        routes.setdefault(route.host, _convert_route(route))
+    services = {
+        one.name: Service(one.name, one.max_connections, one.sync_replicas)
+        for one in found.services
+    }
+    return Catalog(
+        found.version,
+        routes,
+        services,
+        found.limits.tx_idle_ms / _MS,
+        body,
+    )
+
+
+def decode_entry(endpoint_id: str, body: bytes) -> EndpointEntry | None:
+    """Return a registration; ``None`` for one that names no usable endpoint."""
+    try:
+        return _convert_entry(endpoint_id, body)
+    except (msgspec.MsgspecError, ValueError) as error:
+        log_event(
+            'registration_skipped',
+            'WARNING',
+            endpoint=endpoint_id,
+            cause=str(error),
+        )
+    return None
+
+
+def _convert_entry(endpoint_id: str, body: bytes) -> EndpointEntry:
+    found = msgspec.json.decode(body, type=_Entry)
+    host, _, port = found.address.rpartition(':')
+    if found.state not in _STATES or found.db_role not in _ROLES:
+        raise ValueError('unknown state or role')
+    if not host or any(char.isspace() for char in endpoint_id):
+        raise ValueError('unusable address or identifier')
+    return EndpointEntry(
+        endpoint_id,
+        found.service,
+        host,
+        int(port),
+        found.zone,
+        found.slots,
+        found.state == _DRAINING,
+        _ROLES[found.db_role],
+        found.born,
+    )
+
+
+def _convert_route(route: Any) -> Route:
+    consistency = _CONSISTENCIES.get(route.type)
+    if consistency is None:
+        raise ValueError('unknown type of route {0!r}'.format(route.type))
+    return Route(
+        route.name,
+        route.host,
+        route.service,
+        consistency,
+        route.max_staleness_ms / _MS,
+        route.timeout_ms / _MS,
+        route.target_latency_ms / _MS,
+        route.priority,
+    )
--- /dev/null
+++ b/catkincrank/platform/endpoints.py
@@ -0,0 +1,257 @@
+"""Endpoints' side of the session protocol."""
+
+from typing import Final, final
+
+import anyio
+from anyio.abc import ByteStream
+
+from catkincrank.endpoint import TransactionStatus
+from catkincrank.errors import EndpointError
+from catkincrank.gateway.link import (
+    EndpointLink,
+    EndpointState,
+    LinkDriver,
+    link_drivers,
+)
+from catkincrank.gateway.position import Position
+from catkincrank.gateway.reply import Failure, Refusal, Reply
+from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.gateway.statement import Kind, Prepared, Statement
+from catkincrank.platform.lines import HANG_UPS, LineReader, LineTooLongError
+from catkincrank.platform.words import FAILURES, parse_position, parse_status
+
+__all__ = ('LineDriver', 'LineLink')
+
+# Requests of our own carry this identifier.
+_OWN_ID: Final = b'-'
+_ROLES = {b'primary': True, b'replica': False}  # noqa: WPS407
+_UNREADABLE = (*HANG_UPS, LineTooLongError)
+# role, term, received, promised, lag_ms, busy, connections
+_STATE_FIELDS = 4
+
+
+@final
+class LineLink(EndpointLink):  # noqa: WPS214
+    """One connection to one endpoint.
+
+    Args:
+        stream: The connection.
+        endpoint_id: The endpoint, for error messages.
+    """
+
+    __slots__ = (
+        '_endpoint_id',
+        '_reader',
+        '_status',
+        '_stream',
+        'prepared',
+        'values',
+    )
+
+    def __init__(self, stream: ByteStream, endpoint_id: str) -> None:
+        self._stream = stream
+        self._reader = LineReader(stream)
+        self._endpoint_id = endpoint_id
+        self._status = TransactionStatus.IDLE
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: dict[Prepared, bytes] = {}
+
+    @property
+    def status(self) -> TransactionStatus:
+        """The transaction state that the endpoint reported last."""
+        return self._status
+
+    async def start(self, service: str, application: str) -> None:
+        """Open the session.
+
+        Raises:
+            EndpointError: The endpoint refused.
+        """
+        await self._send(
+            ' '.join(
+                ('STARTUP', service, application, self._endpoint_id),
+            ).encode('ascii')
+            + b'\r\n',
+        )
+        line = await self._read()
+        if not line.startswith(b'READY '):
+            raise EndpointError(
+                'refused: {0}'.format(line.decode('ascii', 'replace')),
+                was_sent=False,
+            )
+
+    async def run(
+        self,
+        statement: Statement,
+        after: Position | None = None,
+        alias: bytes = b'',
+    ) -> Reply:
+        """Pass on a caller's statement."""
+        text = statement.text
+        if statement.kind is Kind.EXECUTE:
+            text = b'EXECUTE %b %b' % (alias, statement.operand)
+        return await self._ask(statement.request_id, text, after)
+
+    async def begin(
+        self,
+        *,
+        is_read_only: bool,
+        after: Position | None,
+    ) -> Reply:
+        """Begin a transaction."""
+        text = b'BEGIN READ' if is_read_only else b'BEGIN'
+        return await self._ask(_OWN_ID, text, after)
+
+    async def roll_back(self) -> Reply:
+        """Roll the transaction back."""
+        return await self._ask(_OWN_ID, b'ROLLBACK')
+
+    async def configure(
+        self,
+        values: dict[bytes, bytes],
+        prepared: Prepared | None,
+        *,
+        is_reset: bool,
+    ) -> bool:
+        """Set values and prepare a statement, in one round trip."""
+        texts = [b'RESET'] if is_reset else []
+        if is_reset:
+            self.values = {}
+            self.prepared = {}
+        texts.extend(b'SET %b %b' % item for item in values.items())
+        if prepared is not None:
+            alias = b'p%d' % len(self.prepared)
+            mode = b'WRITE' if prepared.is_write else b'READ'
+            texts.append(b'PREPARE %b %b %b' % (alias, mode, prepared.shape))
+            self.prepared[prepared] = alias
+        self.values.update(values)
+        await self._send(b''.join(_encode(_OWN_ID, text) for text in texts))
+        replies = [
+            await self._read_reply()  # noqa: WPS476
+            for _ in texts
+        ]
+        return all(reply.refusal is None for reply in replies)
+
+    async def fetch_state(self) -> EndpointState | None:
+        """Return the endpoint's state; ``None`` when it is too busy."""
+        return await self._command(b'STATUS')
+
+    async def pause(self, term: int) -> EndpointState | None:
+        """Stop a replica from receiving, until ``term`` has a primary."""
+        return await self._command(b'PAUSE %d' % term)
+
+    async def resume(self) -> EndpointState | None:
+        """Let a replica receive again."""
+        return await self._command(b'RESUME')
+
+    async def demote(self, term: int) -> EndpointState | None:
+        """Make a primary of a term below ``term`` a replica."""
+        return await self._command(b'DEMOTE %d' % term)
+
+    async def probe(self) -> None:
+        """Find out whether the endpoint answers."""
+        await self.configure({}, None, is_reset=True)
+
+    async def close(self) -> None:
+        """Close without waiting for the endpoint."""
+        await anyio.aclose_forcefully(self._stream)
+
+    async def _command(self, text: bytes) -> EndpointState | None:
+        reply = await self._ask(_OWN_ID, text)
+        if reply.refusal is not None or not reply.rows:
+            return None
+        return _parse_state(reply.rows[0])
+
+    async def _ask(
+        self,
+        request_id: bytes,
+        text: bytes,
+        after: Position | None = None,
+    ) -> Reply:
+        if after is not None:
+            text = b'AFTER %d.%d %b' % (after.term, after.number, text)
+        await self._send(_encode(request_id, text))
+        return await self._read_reply()
+
+    async def _read_reply(self) -> Reply:
+        rows: list[bytes] = []
+        word, rest = await self._read_message()
+        while word == b'ROW':
+            rows.append(rest)
+            word, rest = await self._read_message()
+        if word not in {b'COMPLETE', b'ERROR'}:
+            raise EndpointError('unreadable answer', was_sent=True)
+        refusal = _parse_refusal(rest) if word == b'ERROR' else None
+        ready, state = await self._read_message()
+        letter, _, position = state.partition(b' ')
+        status = parse_status(letter)
+        if ready != b'READY' or status is None:
+            raise EndpointError('incomplete answer', was_sent=True)
+        self._status = status
+        return Reply(
+            tuple(rows),
+            b'' if refusal else rest,
+            refusal,
+            status,
+            parse_position(position),
+        )
+
+    async def _read_message(self) -> tuple[bytes, bytes]:
+        word, _, rest = (await self._read()).partition(b' ')
+        return word, rest
+
+    async def _send(self, payload: bytes) -> None:
+        try:
+            await self._stream.send(payload)
+        except HANG_UPS as error:
+            raise EndpointError(repr(error), was_sent=True) from None
+
+    async def _read(self) -> bytes:
+        try:
+            return await self._reader.read()
+        except _UNREADABLE as error:
+            raise EndpointError(repr(error), was_sent=True) from None
+
+
+@link_drivers.register('lines')
+@final
+class LineDriver(LinkDriver):
+    """Opens links to endpoints that speak the session protocol."""
+
+    async def connect(self, entry: EndpointEntry, application: str) -> LineLink:
+        """Open a link that proves to lead to ``entry``."""
+        try:
+            stream = await anyio.connect_tcp(entry.host, entry.port)
+        except OSError as error:
+            raise EndpointError(repr(error), was_sent=False) from None
+        link = LineLink(stream, entry.endpoint_id)
+        try:
+            await link.start(entry.service, application)
+        except BaseException:
+            await anyio.aclose_forcefully(stream)
+            raise
+        return link
+
+
+def _encode(request_id: bytes, text: bytes) -> bytes:
+    return b'QUERY %b %b\r\n' % (request_id, text)
+
+
+def _parse_refusal(rest: bytes) -> Refusal:
+    code, _, detail = rest.partition(b' ')
+    return Refusal(FAILURES.get(code, Failure.FAILED), detail)
+
+
+def _parse_state(row: bytes) -> EndpointState | None:
+    fields = row.split(b' ')
+    if len(fields) < _STATE_FIELDS or fields[0] not in _ROLES:
+        return None
+    received = parse_position(fields[2]) or Position(0, 0)
+    if not (fields[1].isdigit() and fields[3].isdigit()):
+        return None
+    return EndpointState(
+        _ROLES[fields[0]],
+        int(fields[1]),
+        received,
+        int(fields[3]),
+    )
--- /dev/null
+++ b/catkincrank/platform/lines.py
@@ -0,0 +1,73 @@
+"""Lines of the platform's session protocol, which callers and endpoints speak.
+
+A line is a word and fields parted by blanks; the last field runs to the end.
+"""
+
+from typing import final
+
+import anyio
+from anyio.abc import ByteStream
+
+__all__ = ('MAX_LINE_BYTES', 'LineReader', 'LineTooLongError', 'split_line')
+
+# The page on the protocol limits a message to 1 MiB.
+MAX_LINE_BYTES = 1024 * 1024
+_READ_BYTES = 65536
+_END = b'\r\n'
+
+
+@final
+class LineTooLongError(Exception):
+    """A line is longer than the protocol allows."""
+
+
+@final
+class LineReader:
+    """Reads whole lines from a stream.
+
+    Args:
+        stream: The stream.
+    """
+
+    __slots__ = ('_buffer', '_stream')
+
+    def __init__(self, stream: ByteStream) -> None:
+        self._stream = stream
+        self._buffer = bytearray()
+
+    async def read(self) -> bytes:
+        """Return the next line without its end.
+
+        Raises:
+            EndOfStream: The other end closed, maybe within a line.
+            LineTooLongError: The line is too long.
+        """
+        searched = 0
+        while True:
+            end = self._buffer.find(_END, searched)
+            if end >= 0:
+                line = bytes(self._buffer[:end])
+                del self._buffer[: end + len(_END)]  # noqa: WPS420
+                return line
+            searched = max(0, len(self._buffer) - 1)
+            if searched > MAX_LINE_BYTES:
+                raise LineTooLongError
+            self._buffer += await self._stream.receive(_READ_BYTES)
+
+    @property
+    def has_bytes(self) -> bool:
+        """Whether bytes have arrived that were not read as a line yet."""
+        return bool(self._buffer)
+
+
+def split_line(line: bytes, fields: int) -> list[bytes]:
+    """Return the word of a line and up to ``fields`` fields."""
+    return line.split(b' ', fields)
+
+
+HANG_UPS = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
--- /dev/null
+++ b/catkincrank/platform/program.py
@@ -0,0 +1,47 @@
+"""The gateway as a program on the users' platform."""
+
+import os
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import final
+
+from catkincrank.gateway.daemon import run_gateway
+from catkincrank.platform import callers, documents, endpoints, promotion, store
+from catkincrank.platform.settings import SETTINGS_VARIABLE, read_settings
+
+__all__ = ('GatewayFlags', 'run')
+
+VARIANTS = (callers, endpoints, promotion, store)
+_ADAPTER = SimpleNamespace(
+    callers='lines',
+    endpoints='lines',
+    promoter='platform',
+    store='platform',
+)
+_DOCUMENTS = SimpleNamespace(
+    config_table=documents.CONFIG_TABLE,
+    config_key=documents.CONFIG_KEY,
+    roster_table=documents.ROSTER_TABLE,
+    decode_catalog=documents.decode_catalog,
+    decode_entry=documents.decode_entry,
+)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class GatewayFlags:
+    """Options of a gateway.
+
+    Attributes:
+        name: Name in log lines until the settings are read.
+        settings: Path of the settings file.
+    """
+
+    name: str = 'gateway'
+    settings: str = ''
+
+
+async def run(flags: GatewayFlags) -> None:
+    """Run a gateway until it is told to stop."""
+    path = flags.settings or os.environ.get(SETTINGS_VARIABLE, '')
+    await run_gateway(read_settings(path), _ADAPTER, _DOCUMENTS)
--- /dev/null
+++ b/catkincrank/platform/settings.py
@@ -0,0 +1,83 @@
+"""Decodes the settings file that the platform writes for each process."""
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from catkincrank.errors import OptionError
+from catkincrank.gateway.options import Address, GatewayOptions
+
+__all__ = ('SETTINGS_VARIABLE', 'read_settings')
+
+SETTINGS_VARIABLE = 'CATKINCRANK_BOOT'
+_NO_ADDRESS = ''
+
+
+class _Listen(msgspec.Struct):
+    """Addresses to listen on; nobody outside calls ``control``."""
+
+    front: str = _NO_ADDRESS
+    ready: str = _NO_ADDRESS
+    control: str = _NO_ADDRESS
+
+
+class _Service(msgspec.Struct):
+    address: str = _NO_ADDRESS
+
+
+class _Bounds(msgspec.Struct):
+    grace_s: float = 6
+    drain_ms: float = 7000
+
+
+class _Settings(msgspec.Struct):
+    """``node`` is the VM's name; ``internal_ports`` a first and last port."""
+
+    node: str
+    ip: str
+    zone: str
+    region: str
+    internal_ports: list[int]
+    listen: _Listen
+    platform: _Service
+    cloud: _Service
+    seeds: list[str] = []
+    zones: dict[str, str] = {}
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def read_settings(path: str) -> GatewayOptions:
+    """Return the options that a settings file holds.
+
+    Raises:
+        OptionError: The file cannot be read.
+    """
+    try:
+        text = Path(path).read_text('utf-8')
+        found = msgspec.convert(tomllib.loads(text), type=_Settings)
+    except (OSError, ValueError, msgspec.ValidationError) as error:
+        raise OptionError(path, str(error), 'a settings file') from None
+    return _convert(found)
+
+
+def _convert(found: Any) -> GatewayOptions:
+    peer_port, metrics_port = (
+        found.internal_ports[0],
+        found.internal_ports[0] + 1,
+    )
+    return GatewayOptions(
+        name=found.node,
+        zone=found.zone,
+        region=found.region,
+        regions=found.zones,
+        callers=Address.parse(found.listen.front),
+        readiness=Address.parse(found.listen.ready),
+        peers=Address(found.ip, peer_port),
+        metrics=Address(found.ip, metrics_port),
+        store=found.platform.address,
+        promoter=found.cloud.address,
+        grace_s=found.bounds.grace_s,
+        drain_s=found.bounds.drain_ms / 1000,
+    )
--- /dev/null
+++ b/catkincrank/platform/store.py
@@ -0,0 +1,194 @@
+"""Client of the platform's table service."""
+
+import base64
+from collections.abc import Mapping, Sequence
+from typing import final
+from urllib.parse import urlencode
+
+import msgspec
+
+from catkincrank.errors import ConflictError, StoreUnavailableError
+from catkincrank.gateway.rowstore import (
+    Changes,
+    Condition,
+    HistoryLostError,
+    RowChange,
+    RowStore,
+    row_stores,
+)
+from catkincrank.httpclient import HttpAnswer, HttpClient, HttpError
+
+__all__ = ('PlatformStore',)
+
+_OK = 200
+_GONE = 410
+_CONFLICT = 412
+_BUSY_STATUSES = frozenset((429, 503))
+# The page gives 4 ms an answer and a slow store 60 times that; a call that
+# has taken this long is taken as lost.
+_CALL_TIMEOUT_S = 1.0
+_PAGE_ROWS = 500
+_MS = 1000
+
+
+class _Row(msgspec.Struct):
+    """A row; ``ver`` is the store's counter when it was written."""
+
+    key: str
+    ver: int
+    value: str = ''
+    removed: bool = False
+
+
+class _Rows(msgspec.Struct):
+    """Rows of an answer; ``ver`` is the store's newest version."""
+
+    ver: int
+    rows: list[_Row] = []
+    truncated: bool = False
+
+
+@row_stores.register('platform')
+@final
+class PlatformStore(RowStore):
+    """A client of the table service.
+
+    Args:
+        address: The service, as ``HOST:PORT``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._url = 'http://{0}'.format(address)
+        self._calls = self._make_client(_CALL_TIMEOUT_S)
+        self._feeds: dict[str, HttpClient] = {}
+
+    async def read_table(self, table: str) -> Changes:
+        """Return every row of a table."""
+        rows: list[_Row] = []
+        version = 0
+        start = ''
+        while True:
+            query = {
+                'table': table,
+                'part': '',
+                'from': start,
+                'limit': _PAGE_ROWS,
+            }
+            answer = await self._ask(
+                self._calls,
+                'GET',
+                '/v1/rows-get?{0}'.format(urlencode(query)),
+            )
+            found = _decode(answer)
+            version = version or found.ver
+            rows.extend(found.rows)
+            if not found.truncated or not found.rows:
+                return Changes(_convert_rows(rows), version)
+            start = '{0}\0'.format(found.rows[-1].key)
+
+    async def follow(self, table: str, after: int, wait_s: float) -> Changes:
+        """Return what changed after a version, as soon as anything has."""
+        client = self._feeds.get(table)
+        if client is None:
+            client = self._make_client(wait_s + _CALL_TIMEOUT_S)
+            self._feeds[table] = client
+        query = {
+            'table': table,
+            'after': after,
+            'wait_ms': round(wait_s * _MS),
+        }
+        answer = await self._ask(
+            client,
+            'GET',
+            '/v1/rows-feed?{0}'.format(urlencode(query)),
+        )
+        if answer.status == _GONE:
+            raise HistoryLostError('history of {0} is gone'.format(table))
+        found = _decode(answer)
+        return Changes(_convert_rows(found.rows), found.ver)
+
+    async def write(
+        self,
+        table: str,
+        conditions: Sequence[Condition],
+        bodies: Mapping[str, bytes],
+        removed: Sequence[str] = (),
+    ) -> int:
+        """Write rows of one table together, if the conditions hold."""
+        body = msgspec.json.encode(
+            {
+                'precondition': [
+                    _name_row(table, one.key, ver=one.version)
+                    for one in conditions
+                ],
+                'set_keys': [
+                    _name_row(
+                        table,
+                        key,
+                        value=base64.b64encode(body).decode('ascii'),
+                    )
+                    for key, body in bodies.items()
+                ],
+                'remove': [_name_row(table, key) for key in removed],
+            },
+        )
+        answer = await self._ask(self._calls, 'POST', '/v1/rows-tx', body)
+        if answer.status == _CONFLICT:
+            first = conditions[0] if conditions else Condition('', 0)
+            raise ConflictError(first.key, first.version, -1)
+        return _decode(answer).ver
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for client in (self._calls, *self._feeds.values()):
+            await client.close()  # noqa: WPS476
+
+    def _make_client(self, timeout_s: float) -> HttpClient:
+        return HttpClient(self._url, timeout_s)
+
+    async def _ask(
+        self,
+        client: HttpClient,
+        method: str,
+        target: str,
+        body: bytes = b'',
+    ) -> HttpAnswer:
+        headers = {'content-type': 'application/json'} if body else {}
+        try:
+            answer = await client.request(method, target, body, headers)
+        except HttpError as error:
+            raise StoreUnavailableError(
+                str(error),
+                may_have_applied=error.was_sent,
+            ) from None
+        if answer.status in {_OK, _GONE, _CONFLICT}:
+            return answer
+        raise StoreUnavailableError(
+            'status {0}'.format(answer.status),
+            may_have_applied=answer.status not in _BUSY_STATUSES,
+        )
+
+
+def _decode(answer: HttpAnswer) -> _Rows:
+    try:
+        return msgspec.json.decode(answer.body, type=_Rows)
+    except msgspec.MsgspecError as error:
+        raise StoreUnavailableError(
+            'unreadable answer: {0}'.format(error),
+            may_have_applied=True,
+        ) from None
+
+
+def _convert_rows(rows: Sequence[_Row]) -> tuple[RowChange, ...]:
+    return tuple(
+        RowChange(
+            row.key,
+            None if row.removed else base64.b64decode(row.value),
+            row.ver,
+        )
+        for row in rows
+    )
+
+
+def _name_row(table: str, key: str, **fields: object) -> dict[str, object]:
+    return {'table': table, 'part': '', 'key': key, **fields}
--- a/catkincrank/poolrunner.py
+++ b/catkincrank/poolrunner.py
@@ -1,13 +1,13 @@
 """Does the I/O that a connection pool asks for."""
 
 from collections.abc import Awaitable, Iterable
-from typing import Protocol, final
+from typing import Any, Protocol, final
 
 import anyio
 from anyio.abc import TaskGroup
 from loguru import logger
 
-from catkincrank.endpoint import EndpointConnection, StatementError
+from catkincrank.endpoint import StatementError
 from catkincrank.errors import EndpointError
 from catkincrank.fairness import QueueEntry
 from catkincrank.pool import EndpointPool
@@ -22,17 +22,30 @@
 )
 from catkincrank.verdict import Reason, RequestError, Verdict
 
-__all__ = ('Connector', 'PoolRunner', 'Ticket')
+__all__ = ('Connector', 'PoolRunner', 'PooledConnection', 'Ticket')
 
 _CLOSE_LIMIT_S = 1
 _PROBE_LIMIT_S = 0.5
-_PROBE_SQL = 'SELECT 1'
+
+
+class PooledConnection(Protocol):
+    """What a pool needs of a connection, whatever protocol it speaks."""
+
+    async def probe(self) -> None:
+        """Find out whether the endpoint answers.
+
+        Raises:
+            EndpointError: It does not.
+        """
+
+    async def close(self) -> None:
+        """Close without waiting for the endpoint."""
 
 
 class Connector(Protocol):
     """Opens a connection of one kind to the pool's endpoint."""
 
-    def __call__(self, login: str) -> Awaitable[EndpointConnection]:
+    def __call__(self, login: str) -> Awaitable[Any]:
         """Open a connection.
 
         Raises:
@@ -98,10 +111,10 @@
         self.pool = pool
         self._connect = connect
         self._tasks = tasks
-        self._connections: dict[int, EndpointConnection] = {}
+        self._connections: dict[int, Any] = {}
         self._tickets: dict[int, Ticket] = {}
 
-    def connection(self, connection_id: int) -> EndpointConnection:
+    def connection(self, connection_id: int) -> Any:
         """Return a connection that was granted."""
         return self._connections[connection_id]
 
@@ -212,17 +225,17 @@
         self._apply(self.pool.probed(connection_id, now, is_alive=is_alive))
 
 
-async def _answers(connection: EndpointConnection) -> bool:
+async def _answers(connection: PooledConnection) -> bool:
     with anyio.move_on_after(_PROBE_LIMIT_S):
         try:
-            await connection.execute(_PROBE_SQL)
+            await connection.probe()
         except (EndpointError, StatementError):
             return False
         return True
     return False
 
 
-async def _close(connection: EndpointConnection) -> None:
+async def _close(connection: PooledConnection) -> None:
     with anyio.move_on_after(_CLOSE_LIMIT_S, shield=True):
         await connection.close()
 
--- a/catkincrank/programs.py
+++ b/catkincrank/programs.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from catkincrank.clock import SuspendAwareLoop
 from catkincrank.logs import configure_logs, log_event
 from catkincrank.options import parse_options
 
@@ -31,15 +32,25 @@
     Attributes:
         module: Module with ``run``.
         options: Name of the class of its flags there.
+        is_suspend_aware: Whether its clock counts suspended time.
+        needs_variants: Whether settings name drivers by their variants.
     """
 
     module: str
     options: str
+    is_suspend_aware: bool = False
+    needs_variants: bool = True
 
 
 PROGRAMS = {  # noqa: WPS407
     'proxy': Program('catkincrank.proxyprogram', 'ProxyFlags'),
     'keeper': Program('catkincrank.keeperprogram', 'KeeperFlags'),
+    'gateway': Program(
+        'catkincrank.platform.program',
+        'GatewayFlags',
+        is_suspend_aware=True,
+        needs_variants=False,
+    ),
 }
 
 
@@ -64,10 +75,15 @@
     """
     module, kind = load_program(name)
     options = parse_options(kind, arguments, os.environ)
-    load_variants()
+    program = PROGRAMS[name]
+    if program.needs_variants:
+        load_variants()
     source = getattr(options, 'name', '') or name
     configure_logs(source)
     log_event('program_started', program=name, process_id=os.getpid())
-    anyio.run(module.run, options)
+    backend = {}
+    if program.is_suspend_aware:
+        backend['loop_factory'] = SuspendAwareLoop
+    anyio.run(module.run, options, backend_options=backend)
     log_event('program_stopped', program=name)
     return 0
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -19,6 +19,12 @@
     settingsDelta @10 :SettingsDelta;
     settingsPush @11 :SettingsPush;
     drainNotice @12 :DrainNotice;
+    tableQuery @13 :TableQuery;
+    tableReply @14 :TableReply;
+    revokeRequest @15 :RevokeRequest;
+    revokeReply @16 :RevokeReply;
+    reachQuery @17 :ReachQuery;
+    reachReply @18 :ReachReply;
   }
 }
 
@@ -149,3 +155,41 @@
   machine @0 :Text;
   cause @1 :Text;
 }
+
+struct TableQuery {
+  table @0 :Text;
+  version @1 :UInt64;
+}
+
+struct TableRow {
+  key @0 :Text;
+  version @1 :UInt64;
+  body @2 :Data;
+  isRemoved @3 :Bool;
+}
+
+struct TableReply {
+  table @0 :Text;
+  version @1 :UInt64;
+  ageS @2 :Float64;
+  rows @3 :List(TableRow);
+}
+
+struct RevokeRequest {
+  service @0 :Text;
+  version @1 :UInt64;
+  holder @2 :Text;
+}
+
+struct RevokeReply {
+  isDone @0 :Bool;
+}
+
+struct ReachQuery {
+  service @0 :Text;
+  endpoint @1 :Text;
+}
+
+struct ReachReply {
+  isReachable @0 :Bool;
+}
