Answer requests that arrive while a stopping gateway ends sessions

Cause: close_idle cancelled a caller's task; when its request had just arrived, the cancellation struck later, with the statement at the endpoint. Ruled out: the grace (the request came 2.2 s into 6 s) and the listener. Change: only the wait for a request is cancelled, and a session takes one last look before it ends. Test first failing: test_gateway_front.py.

--- a/catkincrank/gateway/front.py
+++ b/catkincrank/gateway/front.py
@@ -20,6 +20,8 @@
 
 # A caller that has not said what it wants by then is not going to.
 _STARTUP_LIMIT_S = 5.0
+# What has arrived by the time that a session ends is still answered.
+_LAST_LOOK_S = 0.02
 _HANG_UPS = (
     anyio.EndOfStream,
     anyio.BrokenResourceError,
@@ -34,28 +36,42 @@
 
     Args:
         codec: Its protocol.
-        scope: Cancels its task.
 
     Attributes:
+        codec: Its protocol.
         session: Its session, once it has one.
-        is_waiting: Whether nothing of it is in flight.
     """
 
-    __slots__ = ('codec', 'is_waiting', 'scope', 'session')
+    __slots__ = ('_waiting', 'codec', 'session')
 
-    def __init__(self, codec: CallerCodec, scope: anyio.CancelScope) -> None:
+    def __init__(self, codec: CallerCodec) -> None:
         self.codec = codec
-        self.scope = scope
         self.session: Session | None = None
-        self.is_waiting = False
+        self._waiting: anyio.CancelScope | None = None
 
     @property
     def is_idle(self) -> bool:
-        """Whether its connection may be closed without harm."""
-        if self.session is None:
-            return False
-        is_open = self.session.status is not TransactionStatus.IDLE
-        return self.is_waiting and not is_open and not self.codec.has_input
+        """Whether it is between two operations."""
+        session = self.session
+        return session is None or session.status is TransactionStatus.IDLE
+
+    async def read(
+        self,
+        limit_s: float | None,
+    ) -> Statement | Terminate | None:
+        """Return the next request; ``None`` after a while or if woken."""
+        with anyio.move_on_after(limit_s) as scope:
+            self._waiting = scope
+            request = await self.codec.read_request()
+            self._waiting = None
+            return request
+        self._waiting = None
+        return None
+
+    def wake(self) -> None:
+        """End the wait for a request; one that has arrived is not lost."""
+        if self._waiting is not None:
+            self._waiting.cancel()
 
 
 @final
@@ -103,23 +119,22 @@
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection until it ends."""
         async with stream:
-            with anyio.CancelScope() as scope:
-                caller = Caller(self._codec(stream), scope)
-                self.callers.add(caller)
-                try:
-                    await self._converse(caller)
-                except _HANG_UPS:
-                    self._log.note_hang_up(caller.session)
-                finally:
-                    self.callers.discard(caller)
-                    await self._clean_up(caller)
+            caller = Caller(self._codec(stream))
+            self.callers.add(caller)
+            try:
+                await self._converse(caller)
+            except _HANG_UPS:
+                self._log.note_hang_up(caller.session)
+            finally:
+                self.callers.discard(caller)
+                await self._clean_up(caller)
 
     def close_idle(self) -> None:
         """End the sessions that are idle, and the others once they are."""
         self.is_closing = True
         for caller in tuple(self.callers):
             if caller.is_idle:
-                caller.scope.cancel()
+                caller.wake()
 
     async def _converse(self, caller: Caller) -> None:
         with anyio.move_on_after(_STARTUP_LIMIT_S):
@@ -129,9 +144,9 @@
         if caller.session is None:
             return
         await caller.codec.welcome()
-        while not (self.is_closing and caller.session.transaction is None):
+        while True:
             request = await self._await_request(caller)
-            if isinstance(request, Terminate):
+            if request is None or isinstance(request, Terminate):
                 return
             reply = await self._answer(caller.session, request)
             await caller.codec.send(reply)
@@ -146,20 +161,26 @@
             return False
         return True
 
-    async def _await_request(self, caller: Caller) -> Statement | Terminate:
-        """Return the next request; roll back if a transaction idles."""
-        caller.is_waiting = True
-        request = None
-        with anyio.move_on_after(self._idle_limit(caller.session)):
-            request = await caller.codec.read_request()
-        if request is None:
-            await self._end_idle(caller.session)
-            request = await caller.codec.read_request()
-        caller.is_waiting = False
-        return request
+    async def _await_request(
+        self,
+        caller: Caller,
+    ) -> Statement | Terminate | None:
+        """Return the next request; ``None`` to end the session.
+
+        A transaction that idles for too long is rolled back meanwhile.
+        """
+        while True:
+            limit_s = self._idle_limit(caller.session)
+            is_ending = self.is_closing and caller.is_idle
+            request = await caller.read(_LAST_LOOK_S if is_ending else limit_s)
+            if request is not None or is_ending:
+                return request
+            if limit_s is not None:
+                await self._end_idle(caller.session)
 
     def _idle_limit(self, session: Session) -> float | None:
-        if session.transaction is None or self._groups.catalog is None:
+        is_open = session.status is TransactionStatus.OPEN
+        if not is_open or self._groups.catalog is None:
             return None
         return self._groups.catalog.transaction_idle_s
 
--- /dev/null
+++ b/tests/test_gateway_front.py
@@ -0,0 +1,158 @@
+import anyio
+import pytest
+from anyio.abc import ByteStream
+
+from catkincrank.gateway.catalog import Catalog, Consistency, Route, Service
+from catkincrank.gateway.front import Front
+from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.reply import Reply
+from catkincrank.gateway.requestlog import LineBudget, RequestLog
+from catkincrank.metrics import Metrics
+from catkincrank.platform.callers import LineCodec
+from tests import virtualtime
+
+ROUTE = Route('r', 'db', 'svc', Consistency.STRONG, 0, 1, 1, 0)
+CATALOG = Catalog(1, {'db': ROUTE}, {'svc': Service('svc', 9, 0)}, 3)
+
+
+class SlowExecution:
+    """Answers each statement after 50 ms."""
+
+    async def run(self, session, route, statement):
+        await anyio.sleep(0.05)
+        return Reply(rows=(b'row',), signature=b'sig')
+
+
+class MemoryStream(ByteStream):
+    """A stream of bytes over two streams of chunks."""
+
+    def __init__(self, output, incoming):
+        self._output = output
+        self._incoming = incoming
+
+    async def receive(self, max_bytes=65536):
+        return await self._incoming.receive()
+
+    async def send(self, item):
+        await self._output.send(item)
+
+    async def send_eof(self):
+        await self._output.aclose()
+
+    async def aclose(self):
+        await self._output.aclose()
+        await self._incoming.aclose()
+
+
+class Wire:
+    """A caller at the other end of a connection."""
+
+    def __init__(self, execution=None):
+        groups = Groups()
+        groups.accept(CATALOG)
+        self.front = Front(
+            groups,
+            execution or SlowExecution(),
+            None,
+            RequestLog(Metrics(), LineBudget()),
+            LineCodec,
+        )
+        send, self._input = anyio.create_memory_object_stream(99)
+        self._output, receive = anyio.create_memory_object_stream(99)
+        self.send = send
+        self.receive = receive
+
+    async def serve(self):
+        await self.front.serve(MemoryStream(self._output, self._input))
+
+    def read_all(self):
+        found = b''
+        while True:
+            try:
+                found += self.receive.receive_nowait()
+            except (anyio.WouldBlock, anyio.EndOfStream):
+                return found
+
+
+async def _converse(*chunks, act=None):
+    wire = Wire()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(wire.serve)
+        for chunk in chunks:
+            await wire.send.send(chunk)
+            await anyio.sleep(1)
+        if act is not None:
+            act(wire)
+        await anyio.sleep(1)
+        wire.send.close()
+    return wire.read_all()
+
+
+@pytest.mark.parametrize(
+    ('chunks', 'expected'),
+    [
+        ((b'STARTUP db u\r\n',), b'READY I -\r\n'),
+        ((b'STARTUP other u\r\n',), b'ERROR NODATABASE '),
+        ((b'HELLO\r\n',), b'ERROR MALFORMED '),
+        (
+            (b'STARTUP db u\r\n', b'QUERY 1 SET a b\r\n'),
+            b'READY I -\r\nCOMPLETE -\r\nREADY I -\r\n',
+        ),
+        (
+            (b'STARTUP db u\r\n', b'QUERY 1 RE', b'AD k\r\n'),
+            b'READY I -\r\nROW row\r\nCOMPLETE sig\r\nREADY I -\r\n',
+        ),
+        (
+            (b'STARTUP db u\r\n', b'QUERY 1 NONSENSE\r\n'),
+            b'READY I -\r\nERROR MALFORMED ',
+        ),
+        (
+            (b'STARTUP db u\r\n', b'QUERY 1 EXECUTE s k\r\n'),
+            b'READY I -\r\nERROR UNKNOWN ',
+        ),
+        (
+            (b'STARTUP db u\r\n', b'QUERY 1 COMMIT\r\n'),
+            b'READY I -\r\nERROR MALFORMED ',
+        ),
+    ],
+)
+def test_answers(chunks, expected):
+    assert virtualtime.run(_run, chunks).startswith(expected)
+
+
+async def _run(chunks):
+    return await _converse(*chunks)
+
+
+def _send_as_it_closes(wire):
+    wire.send.send_nowait(b'QUERY 1 READ k\r\n')
+    wire.front.close_idle()
+
+
+def _close_as_it_sends(wire):
+    wire.front.close_idle()
+    wire.send.send_nowait(b'QUERY 1 READ k\r\n')
+
+
+@pytest.mark.parametrize('act', [_send_as_it_closes, _close_as_it_sends])
+def test_a_request_that_arrives_as_sessions_end_is_answered(act):
+    async def scenario():
+        return await _converse(b'STARTUP db u\r\n', act=act)
+
+    found = virtualtime.run(scenario)
+    assert b'ROW row\r\nCOMPLETE sig\r\nREADY I -\r\n' in found
+
+
+def test_idle_sessions_end_at_once():
+    async def scenario():
+        wire = Wire()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wire.serve)
+            await wire.send.send(b'STARTUP db u\r\n')
+            await anyio.sleep(1)
+            wire.front.close_idle()
+            await anyio.sleep(1)
+            assert not wire.front.callers
+            tasks.cancel_scope.cancel()
+
+    virtualtime.run(scenario)
