Spread readings of the store from the holder to the other gateways

Change: the holder reads, the others ask it twice a second over kept links; who gets no answer reads the store itself.

--- a/catkincrank/gateway/assembly.py
+++ b/catkincrank/gateway/assembly.py
@@ -14,11 +14,12 @@
 from catkincrank.gateway.options import GatewayOptions
 from catkincrank.gateway.passing import Passer
 from catkincrank.gateway.peermessages import (
+    Nudge,
     ReachQuery,
     RevokeRequest,
     TableQuery,
 )
-from catkincrank.gateway.peers import PeerServer
+from catkincrank.gateway.peers import PeerClient, PeerServer
 from catkincrank.gateway.placement import Placement
 from catkincrank.gateway.promoter import promoters
 from catkincrank.gateway.readings import Readings
@@ -73,10 +74,16 @@
     ) -> None:
         self._address = options.peers
         ledger = readings.ledger
-        revocation = Revocation(ledger)
+        client = PeerClient()
+        revocation = Revocation(ledger, client)
         inspector = Inspector(pools)
         self.tenure = Tenure(readings.store, ledger, revocation)
-        self.relay = TableRelay(readings.copies, ledger, self.tenure)
+        self.relay = TableRelay(
+            readings.copies,
+            ledger,
+            self.tenure,
+            client,
+        )
         self.supervision = Supervision(
             groups,
             ledger,
@@ -90,11 +97,14 @@
                 revocation,
                 inspector,
                 promoters.find(promoter)(options.promoter, options.name),
+                self.relay,
             ),
+            client,
         )
         self.peers = PeerServer()
         self.peers.handle(RevokeRequest, revocation.answer)
         self.peers.handle(TableQuery, self.relay.answer)
+        self.peers.handle(Nudge, self.relay.answer_nudge)
         self.peers.handle(ReachQuery, self.supervision.answer)
 
     async def run(self) -> None:
--- a/catkincrank/gateway/ledger.py
+++ b/catkincrank/gateway/ledger.py
@@ -54,17 +54,23 @@
         holder: The holder's row, with its version.
         holder_seen_at: When a sign of life of the holder came.
         me: Row of this process.
+        member_lost_at: When a member's row was last seen to go; at first, when
+            this process started, since it cannot know.
+        silent: Members that did not answer when grants were revoked last.
     """
 
     __slots__ = (
         '_floors',
+        '_heard_at',
         'copy',
         'groups',
         'holder',
         'holder_seen_at',
         'me',
+        'member_lost_at',
         'members',
         'records',
+        'silent',
     )
 
     def __init__(
@@ -80,6 +86,9 @@
         self.members: dict[str, MemberRecord] = {}
         self.holder: tuple[int, HolderRecord] | None = None
         self.holder_seen_at: float = 0
+        self.member_lost_at = anyio.current_time()
+        self.silent: set[str] = set()
+        self._heard_at: dict[str, float] = {}
         self._floors: dict[str, int] = {}
         copy.listen(self.take)
 
@@ -93,6 +102,26 @@
         """Version of the newest takeover that this process was told of."""
         return self._floors.get('', 0)
 
+    def list_others(self) -> list[MemberRecord]:
+        """Return the other members."""
+        return [
+            member
+            for member in self.members.values()
+            if member.name != self.me.name
+        ]
+
+    def hear(self, name: str) -> None:
+        """Note a sign of life of a member."""
+        self._heard_at[name] = anyio.current_time()
+
+    def list_unheard(self, since: float) -> list[MemberRecord]:
+        """Return the other members without a sign of life since a time."""
+        return [
+            member
+            for member in self.list_others()
+            if self._heard_at.get(member.name, since) < since
+        ]
+
     def take(self, changed: tuple[RowChange, ...]) -> None:
         """Take in a reading of the table."""
         for row in changed:
@@ -173,9 +202,11 @@
         if row.body is None:
             name = row.key.removeprefix(member_key(''))
             self.members.pop(name, None)
+            self.member_lost_at = anyio.current_time()
             return
         member = decode_member(row.body)
         self.members[member.name] = member
+        self.hear(member.name)
 
     def _take_group(self, row: RowChange) -> None:
         if row.body is None:
--- a/catkincrank/gateway/peermessages.py
+++ b/catkincrank/gateway/peermessages.py
@@ -6,31 +6,48 @@
 from catkincrank.envelope import file_message
 
 __all__ = (
+    'Nudge',
     'ReachQuery',
     'ReachReply',
     'RevokeReply',
     'RevokeRequest',
+    'TablePlace',
     'TableQuery',
+    'TableReplies',
     'TableReply',
     'TableRow',
 )
 
 
-@file_message('tableQuery')
 @final
 @dataclass(frozen=True, slots=True)
-class TableQuery:
-    """Asks for what a peer knows of a table of the store.
+class TablePlace:
+    """How far a process has read a table.
 
     Attributes:
         table: Name of the table.
-        version: Version of the store that the asker has seen.
+        version: Version of the store that it has seen.
     """
 
     table: str
     version: int
 
 
+@file_message('tableQuery')
+@final
+@dataclass(frozen=True, slots=True)
+class TableQuery:
+    """Asks for what a peer knows of tables of the store.
+
+    Attributes:
+        name: Name of the process that asks.
+        places: How far it has read each of them.
+    """
+
+    name: str
+    places: tuple[TablePlace, ...]
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class TableRow:
@@ -49,7 +66,6 @@
     is_removed: bool
 
 
-@file_message('tableReply')
 @final
 @dataclass(frozen=True, slots=True)
 class TableReply:
@@ -68,6 +84,28 @@
     rows: tuple[TableRow, ...] = ()
 
 
+@file_message('tableReply')
+@final
+@dataclass(frozen=True, slots=True)
+class TableReplies:
+    """What a peer knows of the tables that it was asked about."""
+
+    replies: tuple[TableReply, ...]
+
+
+@file_message('nudge')
+@final
+@dataclass(frozen=True, slots=True)
+class Nudge:
+    """Says that there is news, or that a nudge has arrived.
+
+    Attributes:
+        name: Name of the process that says so.
+    """
+
+    name: str
+
+
 @file_message('revokeRequest')
 @final
 @dataclass(frozen=True, slots=True)
--- a/catkincrank/gateway/peers.py
+++ b/catkincrank/gateway/peers.py
@@ -1,6 +1,6 @@
-"""Questions between gateway processes, one connection for each."""
+"""Questions between gateway processes, over links that are kept."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, final
 
 import anyio
@@ -9,23 +9,97 @@
 from catkincrank.gateway.fleetrecords import MemberRecord
 from catkincrank.links import Link, LinkClosedError, dial, listen
 
-__all__ = ('PeerServer', 'ask_peer')
+__all__ = ('PeerClient', 'PeerServer')
 
 _Answer = Callable[[Any], Awaitable[Any]]
+_FAILURES = (LinkClosedError, MessageError)
 
 
-async def ask_peer(
-    peer: MemberRecord,
-    message: Any,
-    timeout_s: float,
-) -> Any | None:
-    """Return a peer's answer; ``None`` when none came in time."""
-    with anyio.move_on_after(timeout_s):
+@final
+class PeerClient:
+    """Asks peers; a link that fails or stays silent is replaced."""
+
+    __slots__ = ('_links', '_locks')
+
+    def __init__(self) -> None:
+        self._links: dict[MemberRecord, Link] = {}
+        self._locks: dict[MemberRecord, anyio.Lock] = {}
+
+    async def ask(
+        self,
+        peer: MemberRecord,
+        message: Any,
+        timeout_s: float,
+    ) -> Any | None:
+        """Return a peer's answer; ``None`` when none came in time."""
+        lock = self._locks.setdefault(peer, anyio.Lock())
+        with anyio.move_on_after(timeout_s):
+            async with lock:
+                return await self._ask_once_more(peer, message, timeout_s)
+        return None
+
+    async def ask_all(
+        self,
+        peers: Iterable[MemberRecord],
+        message: Any,
+        timeout_s: float,
+    ) -> dict[str, Any]:
+        """Return the answers that came in time, by name of the peer."""
+        answers: dict[str, Any] = {}
+
+        async def ask_one(peer: MemberRecord) -> None:  # noqa: WPS430
+            answer = await self.ask(peer, message, timeout_s)
+            if answer is not None:
+                answers[peer.name] = answer
+
+        async with anyio.create_task_group() as tasks:
+            for peer in peers:
+                tasks.start_soon(ask_one, peer)
+        return answers
+
+    def forget(self, known: Iterable[MemberRecord]) -> None:
+        """Drop what is kept of peers that are not among ``known``."""
+        kept = set(known)
+        for peer in set(self._locks) - kept:
+            if peer not in self._links:
+                self._locks.pop(peer)
+
+    async def _ask_once_more(
+        self,
+        peer: MemberRecord,
+        message: Any,
+        timeout_s: float,
+    ) -> Any | None:
+        """Ask on the kept link, and on a new one if that is gone."""
+        is_kept = peer in self._links
+        try:
+            return await self._converse(peer, message, timeout_s)
+        except _FAILURES:
+            if not is_kept:
+                return None
         try:
-            return await _converse(peer, message, timeout_s)
-        except (LinkClosedError, MessageError):
+            return await self._converse(peer, message, timeout_s)
+        except _FAILURES:
             return None
-    return None
+
+    async def _converse(
+        self,
+        peer: MemberRecord,
+        message: Any,
+        timeout_s: float,
+    ) -> Any:
+        link = self._links.pop(peer, None)
+        if link is None:
+            link = await dial(peer.host, peer.port, timeout_s)
+        try:
+            await link.send(message)
+            answer = await link.receive()
+        except BaseException:
+            with anyio.CancelScope(shield=True):
+                await link.close()
+            raise
+        self._links[peer] = link
+        return answer
 
 
 @final
@@ -52,12 +126,3 @@
             if answer is None:
                 return
             await link.send(await answer(message))
-
-
-async def _converse(peer: MemberRecord, message: Any, timeout_s: float) -> Any:
-    link = await dial(peer.host, peer.port, timeout_s)
-    try:  # noqa: WPS501
-        await link.send(message)
-        return await link.receive()
-    finally:
-        await link.close()
--- a/catkincrank/gateway/readings.py
+++ b/catkincrank/gateway/readings.py
@@ -28,6 +28,11 @@
 _CONFIG_WAIT_S = 1.2
 _ROSTER_WAIT_S = 1.5
 _FLEET_WAIT_S = 1.2
+# While readings of others are no older than this, the store is not asked: the
+# age of the holder's own reading and two of its peers' intervals; grants also
+# need time left to find another source.
+_DOCUMENTS_FRESH_S = 2.8
+_FLEET_FRESH_S = 1.5
 # Registrations change all the time; their changes are gathered for a while.
 _ROSTER_GAP_S = 0.4
 _REGISTER_PAUSE_S = 0.3
@@ -60,15 +65,26 @@
         groups: Groups,
     ) -> None:
         self.store = store
-        self.config = TableCopy(store, documents.config_table, _CONFIG_WAIT_S)
+        self.config = TableCopy(
+            store,
+            documents.config_table,
+            _CONFIG_WAIT_S,
+            fresh_s=_DOCUMENTS_FRESH_S,
+        )
         self.roster = TableCopy(
             store,
             documents.roster_table,
             _ROSTER_WAIT_S,
             _ROSTER_GAP_S,
+            _DOCUMENTS_FRESH_S,
         )
         self.ledger = Ledger(
-            TableCopy(store, FLEET_TABLE, _FLEET_WAIT_S),
+            TableCopy(
+                store,
+                FLEET_TABLE,
+                _FLEET_WAIT_S,
+                fresh_s=_FLEET_FRESH_S,
+            ),
             groups,
             MemberRecord(
                 options.name,
--- a/catkincrank/gateway/succession.py
+++ b/catkincrank/gateway/succession.py
@@ -17,6 +17,7 @@
 from catkincrank.gateway.ledger import Ledger
 from catkincrank.gateway.link import EndpointState
 from catkincrank.gateway.promoter import Promoter, PromotionError
+from catkincrank.gateway.relay import TableRelay
 from catkincrank.gateway.revocation import Revocation
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.gateway.rowstore import Condition, RowStore
@@ -48,6 +49,7 @@
         revocation: Makes others give up grants.
         inspector: Talks to endpoints.
         promoter: Appoints primaries.
+        relay: Spreads the news.
     """
 
     __slots__ = (
@@ -55,12 +57,13 @@
         '_inspector',
         '_ledger',
         '_promoter',
+        '_relay',
         '_revocation',
         '_store',
         '_tenure',
     )
 
-    def __init__(
+    def __init__(  # noqa: WPS211
         self,
         store: RowStore,
         ledger: Ledger,
@@ -69,6 +72,7 @@
         revocation: Revocation,
         inspector: Inspector,
         promoter: Promoter,
+        relay: TableRelay,
     ) -> None:
         self._store = store
         self._ledger = ledger
@@ -77,6 +81,7 @@
         self._revocation = revocation
         self._inspector = inspector
         self._promoter = promoter
+        self._relay = relay
 
     async def record_first(self, service: str) -> None:
         """Record the primary of a group that has no row yet."""
@@ -120,6 +125,7 @@
             return
         entry, state = leader
         await self._install(record, entry, state)
+        await self._relay.nudge_all()
         log_event(
             'replacement_finished',
             service=service,
@@ -136,14 +142,9 @@
 
     async def _fence(self, record: GroupRecord, marked: int) -> None:
         """Return once nobody acts for the old primary any more."""
-        marked_at = anyio.current_time()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._demote, record)
-            await self._revocation.revoke_all(
-                record.service,
-                marked,
-                marked_at,
-            )
+            await self._revocation.revoke_group(record.service, marked)
 
     async def _demote(self, record: GroupRecord) -> EndpointState | None:
         entry = self._groups.roster.find(record.primary)
--- a/catkincrank/gateway/supervision.py
+++ b/catkincrank/gateway/supervision.py
@@ -4,12 +4,12 @@
 
 import anyio
 
-from catkincrank.gateway.fleetrecords import GroupRecord, MemberRecord
+from catkincrank.gateway.fleetrecords import GroupRecord
 from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.inspection import Inspector
 from catkincrank.gateway.ledger import Ledger
 from catkincrank.gateway.peermessages import ReachQuery, ReachReply
-from catkincrank.gateway.peers import ask_peer
+from catkincrank.gateway.peers import PeerClient
 from catkincrank.gateway.succession import Succession
 from catkincrank.gateway.suspicion import Cause, Sighting, count_votes, judge
 from catkincrank.gateway.tenure import Tenure
@@ -45,9 +45,11 @@
         tenure: The duty to replace primaries.
         inspector: Talks to endpoints.
         succession: Carries out replacements.
+        client: Asks peers.
     """
 
     __slots__ = (
+        '_client',
         '_groups',
         '_inspector',
         '_ledger',
@@ -63,12 +65,14 @@
         tenure: Tenure,
         inspector: Inspector,
         succession: Succession,
+        client: PeerClient,
     ) -> None:
         self._groups = groups
         self._ledger = ledger
         self._tenure = tenure
         self._inspector = inspector
         self._succession = succession
+        self._client = client
         self._watched: set[str] = set()
 
     async def answer(self, query: ReachQuery) -> ReachReply:
@@ -134,16 +138,14 @@
 
     async def _poll_peers(self, record: GroupRecord) -> bool:
         """Return whether peers agree that the primary cannot be reached."""
-        votes: list[bool | None] = []
         query = ReachQuery(record.service, record.primary)
-
-        async def ask(member: MemberRecord) -> None:  # noqa: WPS430
-            reply = await ask_peer(member, query, _VOTE_LIMIT_S)
-            is_answer = isinstance(reply, ReachReply)
-            votes.append(reply.is_reachable if is_answer else None)
-
-        async with anyio.create_task_group() as tasks:
-            for member in self._ledger.members.values():
-                if member.name != self._ledger.me.name:
-                    tasks.start_soon(ask, member)
-        return count_votes(votes)
+        answers = await self._client.ask_all(
+            self._ledger.list_others(),
+            query,
+            _VOTE_LIMIT_S,
+        )
+        return count_votes(
+            answer.is_reachable
+            for answer in answers.values()
+            if isinstance(answer, ReachReply)
+        )
--- a/catkincrank/gateway/suspicion.py
+++ b/catkincrank/gateway/suspicion.py
@@ -70,11 +70,11 @@
     return None
 
 
-def count_votes(votes: Iterable[bool | None]) -> bool:
+def count_votes(votes: Iterable[bool]) -> bool:
     """Return whether peers agree that an endpoint cannot be reached.
 
     Args:
-        votes: Whether each peer reached it; ``None`` for a silent peer.
+        votes: Whether each peer that answered reached it.
     """
-    known = [vote for vote in votes if vote is not None]
+    known = list(votes)
     return sum(known) * 2 <= len(known)
--- a/catkincrank/gateway/tablecopy.py
+++ b/catkincrank/gateway/tablecopy.py
@@ -22,6 +22,7 @@
 # a store's return leaves, long enough that a fleet does not flood it.
 _FIRST_PAUSE_S = 0.1
 _MAX_PAUSE_S = 0.6
+_REST_S = 0.1
 
 
 @final
@@ -34,8 +35,10 @@
         wait_s: How long one call waits for changes, in seconds.
         gap_s: Pause after changes came, in seconds, so that a table that
             changes all the time costs a bounded number of calls.
+        fresh_s: Age up to which a reading by others will do, in seconds.
 
     Attributes:
+        may_rest: Whether others may keep the copy fresh.
         rows: The rows by key.
         version: Version of the store at the newest reading.
         read_at: When that reading was asked for, on the local clock.
@@ -43,7 +46,9 @@
     """
 
     __slots__ = (
+        '_fresh_s',
         '_gap_s',
+        '_has_rested',
         '_is_available',
         '_listeners',
         '_removed',
@@ -51,6 +56,7 @@
         '_table',
         '_wait_s',
         'direct_at',
+        'may_rest',
         'read_at',
         'rows',
         'version',
@@ -62,13 +68,17 @@
         table: str,
         wait_s: float,
         gap_s: float = 0,
+        fresh_s: float = 0,
     ) -> None:
         self._store = store
         self._table = table
         self._removed: dict[str, int] = {}
         self._wait_s = wait_s
         self._gap_s = gap_s
+        self._fresh_s = fresh_s
         self._is_available = True
+        self._has_rested = False
+        self.may_rest = False
         self._listeners: list[Callable[[tuple[RowChange, ...]], None]] = []
         self.rows: dict[str, RowChange] = {}
         self.version = 0
@@ -96,6 +106,10 @@
         """Follow the table until cancelled."""
         pause_s = _FIRST_PAUSE_S
         while True:
+            if self._is_fresh():
+                self._has_rested = True
+                await anyio.sleep(_REST_S)
+                continue
             try:
                 await self._read_once()
             except StoreUnavailableError as error:
@@ -145,6 +159,11 @@
             row for row in self.rows.values() if row.version > after
         )
 
+    def _is_fresh(self) -> bool:
+        """Return whether the store need not be asked now."""
+        age_s = anyio.current_time() - self.read_at
+        return self.may_rest and age_s < self._fresh_s
+
     def _apply_direct(self, changes: Changes, read_at: float) -> None:
         self.direct_at = max(self.direct_at, read_at)
         self._apply(changes, read_at)
@@ -155,8 +174,10 @@
             return
         started = anyio.current_time()
         after = self.version
+        wait_s = 0 if self._has_rested else self._wait_s
+        self._has_rested = False
         try:
-            found = await self._store.follow(self._table, after, self._wait_s)
+            found = await self._store.follow(self._table, after, wait_s)
         except HistoryLostError:
             log_event('history_lost', table=self._table, version=after)
             await self.reload()
--- a/catkincrank/gateway/tenure.py
+++ b/catkincrank/gateway/tenure.py
@@ -4,6 +4,7 @@
 from typing import final
 
 import anyio
+from anyio.abc import TaskGroup
 
 from catkincrank.errors import ConflictError, StoreUnavailableError
 from catkincrank.gateway.fleetrecords import (
@@ -12,16 +13,17 @@
     HOLDER_KEY,
     HolderRecord,
     encode_record,
+    member_key,
 )
-from catkincrank.gateway.ledger import Ledger
-from catkincrank.gateway.revocation import Revocation
-from catkincrank.gateway.rowstore import Condition, RowStore
+from catkincrank.gateway.ledger import GRANT_S, Ledger
+from catkincrank.gateway.revocation import EXTENSION_S, Revocation
+from catkincrank.gateway.rowstore import Changes, Condition, RowStore
 from catkincrank.logs import log_event
 
 __all__ = ('Tenure',)
 
-# The holder writes a sign of life this often, in seconds; each wakes every
-# reader of the table, which has to read about as often anyway.
+# The holder writes a sign of life this often, in seconds: three within a
+# grant, since each renews what the others learn from it.
 _BEAT_S = 0.8
 # A holder without a sign of life for this long is replaced: three beats and
 # the time that a slow store takes.
@@ -29,6 +31,10 @@
 # Contenders spread their attempts over this time, in seconds.
 _SPREAD_S = 0.6
 _STEP_S = 0.2
+# A member asks twice a second; one that has not for this long is removed. It
+# registers again if it lives.
+_MEMBER_SILENCE_S = 6.0
+_PRUNE_INTERVAL_S = 1.0
 
 
 @final
@@ -47,7 +53,9 @@
 
     __slots__ = (
         '_beat_at',
+        '_confirmed_at',
         '_ledger',
+        '_pruned_at',
         '_revocation',
         '_store',
         'is_settled',
@@ -64,6 +72,8 @@
         self._ledger = ledger
         self._revocation = revocation
         self._beat_at: float = 0
+        self._confirmed_at: float = 0
+        self._pruned_at: float = 0
         self.token = 0
         self.is_settled = False
 
@@ -72,6 +82,13 @@
         """Whether this process holds the duty, as far as it knows."""
         return self.token > 0
 
+    def may_vouch(self, now: float) -> bool:
+        """Return whether this process's word stands for the store's."""
+        is_current = self._ledger.floor <= self.token
+        if not (self.is_mine and self.is_settled and is_current):
+            return False
+        return now < self._confirmed_at + EXTENSION_S - GRANT_S
+
     def give_up(self, cause: str) -> None:
         """Stop acting as the holder."""
         if self.token:
@@ -81,17 +98,22 @@
 
     async def run(self) -> None:
         """Keep the duty or wait to take it over, until cancelled."""
-        while True:
-            await anyio.sleep(_STEP_S)
-            if not self._ledger.is_registered:
-                continue
-            self._compare()
-            if self.is_mine:
-                await self._beat()
-            elif self._is_vacant():
-                await anyio.sleep(random.uniform(0, _SPREAD_S))
-                if self._is_vacant():
-                    await self._take_over()
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await anyio.sleep(_STEP_S)
+                await self._step(tasks)
+
+    async def _step(self, tasks: TaskGroup) -> None:
+        if not self._ledger.is_registered:
+            return
+        self._compare()
+        if self.is_mine:
+            await self._beat()
+            await self._prune()
+        elif self._is_vacant():
+            await anyio.sleep(random.uniform(0, _SPREAD_S))
+            if self._is_vacant():
+                await self._take_over(tasks)
 
     def _compare(self) -> None:
         """Notice when the table names another holder."""
@@ -106,18 +128,16 @@
         holder = ledger.holder
         if holder is None:
             return ledger.copy.is_loaded
-        me = ledger.me
-        record = holder[1]
-        if record.name == me.name:
+        if holder[1].name == ledger.me.name:
             # The process that held it ran where this one runs now.
             return True
-        now = anyio.current_time()
-        is_fresh = ledger.copy.direct_at > ledger.holder_seen_at + _SILENCE_S
-        return is_fresh and now > ledger.holder_seen_at + _SILENCE_S
+        silent_at = ledger.holder_seen_at + _SILENCE_S
+        return min(ledger.copy.direct_at, anyio.current_time()) > silent_at
 
-    async def _take_over(self) -> None:
+    async def _take_over(self, tasks: TaskGroup) -> None:
         ledger = self._ledger
-        version = 0 if ledger.holder is None else ledger.holder[0]
+        version, former = self._find_former()
+        seen_at = ledger.holder_seen_at
         me = HolderRecord(ledger.me.name, ledger.me.incarnation)
         try:
             token = await self._store.write(
@@ -129,25 +149,35 @@
             return
         except StoreUnavailableError as error:
             log_event('takeover_unanswered', 'WARNING', cause=str(error))
-            await self._recall(me)
-            return
-        await self._settle(token)
+            token = await self._recall(me)
+        if token:
+            self._begin(token)
+            tasks.start_soon(self._settle, token, former, seen_at)
 
-    async def _recall(self, me: HolderRecord) -> None:
+    def _find_former(self) -> tuple[int, str]:
+        """Return the version of the holder's row, and whom to wait for."""
+        holder = self._ledger.holder
+        if holder is None:
+            return 0, ''
+        name = holder[1].name
+        return holder[0], '' if name == self._ledger.me.name else name
+
+    async def _recall(self, me: HolderRecord) -> int:
         """Find out whether a write without an answer took effect."""
         try:
             await self._ledger.copy.reload()
         except StoreUnavailableError:
-            return
+            return 0
         holder = self._ledger.holder
-        if holder is not None and holder[1] == me:
-            await self._settle(holder[0])
+        return holder[0] if holder is not None and holder[1] == me else 0
 
-    async def _settle(self, token: int) -> None:
+    def _begin(self, token: int) -> None:
         self.token = token
         self.is_settled = False
         log_event('duty_taken', token=token)
-        await self._revocation.revoke_all('', token, anyio.current_time())
+
+    async def _settle(self, token: int, former: str, seen_at: float) -> None:
+        await self._revocation.revoke_holder(token, former, seen_at)
         if self.token == token:
             self.is_settled = True
             log_event('duty_settled', token=token)
@@ -158,6 +188,8 @@
             return
         self._beat_at = now
         token = self.token
+        copy = self._ledger.copy
+        version = copy.version
         try:
             await self._store.write(
                 FLEET_TABLE,
@@ -169,3 +201,29 @@
                 self.give_up('the store names another holder')
         except StoreUnavailableError as error:
             log_event('beat_failed', 'WARNING', cause=str(error))
+        else:
+            self._confirmed_at = now
+            # Only the holder changes groups' rows, and it held the duty: what
+            # it knew then was the newest.
+            copy.learn(Changes((), version), now)
+
+    async def _prune(self) -> None:
+        """Remove members that have gone, so that nobody waits for them."""
+        now = anyio.current_time()
+        if not self.is_settled or now < self._pruned_at + _PRUNE_INTERVAL_S:
+            return
+        self._pruned_at = now
+        gone = self._ledger.list_unheard(now - _MEMBER_SILENCE_S)
+        if not gone:
+            return
+        try:
+            await self._store.write(
+                FLEET_TABLE,
+                [Condition(HOLDER_KEY, self.token)],
+                {},
+                [member_key(member.name) for member in gone],
+            )
+        except (ConflictError, StoreUnavailableError) as error:
+            log_event('prune_failed', 'WARNING', cause=str(error))
+            return
+        log_event('members_removed', members=[one.name for one in gone])
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -20,11 +20,12 @@
     settingsPush @11 :SettingsPush;
     drainNotice @12 :DrainNotice;
     tableQuery @13 :TableQuery;
-    tableReply @14 :TableReply;
+    tableReply @14 :TableReplies;
     revokeRequest @15 :RevokeRequest;
     revokeReply @16 :RevokeReply;
     reachQuery @17 :ReachQuery;
     reachReply @18 :ReachReply;
+    nudge @19 :Nudge;
   }
 }
 
@@ -156,11 +157,24 @@
   cause @1 :Text;
 }
 
-struct TableQuery {
+struct TablePlace {
   table @0 :Text;
   version @1 :UInt64;
 }
 
+struct TableQuery {
+  name @0 :Text;
+  places @1 :List(TablePlace);
+}
+
+struct TableReplies {
+  replies @0 :List(TableReply);
+}
+
+struct Nudge {
+  name @0 :Text;
+}
+
 struct TableRow {
   key @0 :Text;
   version @1 :UInt64;
