Let statements outlast the listener of a stopping gateway

Cause: closing anyio's listener raises in its serve(), whose own task group then cancels every session; the process ended 2.2 s after SIGTERM. Ruled out: the end of idle sessions (the statement was at the endpoint). Change: sessions run in the drain's task group, and accepting is cancelled before the listener is closed. Test first failing: test_gateway_drain.py.

--- a/catkincrank/gateway/drain.py
+++ b/catkincrank/gateway/drain.py
@@ -4,6 +4,7 @@
 from typing import final
 
 import anyio
+from anyio.abc import Listener, TaskGroup
 
 from catkincrank.gateway.front import Front
 from catkincrank.gateway.options import GatewayOptions
@@ -70,19 +71,32 @@
             backlog=1024,
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(listener.serve, self._front.serve)
+            accepting = anyio.CancelScope()
+            tasks.start_soon(self._accept, listener, accepting, tasks)
             self.is_listening = True
             await self._started.wait()
             ends_at = (
                 anyio.current_time() + self._options.grace_s - _EXIT_MARGIN_S
             )
             await anyio.sleep(min(_ROTATION_S, self._options.grace_s / 2))
+            accepting.cancel()
             await listener.aclose()
+            self.is_listening = False
             await self._finish(ends_at)
             tasks.cancel_scope.cancel()
         await self._leave()
         log_event('drain_finished', callers=len(self._front.callers))
 
+    async def _accept(
+        self,
+        listener: Listener,
+        accepting: anyio.CancelScope,
+        tasks: TaskGroup,
+    ) -> None:
+        """Serve callers in ``tasks``, so that they outlast the listener."""
+        with accepting:
+            await listener.serve(self._front.serve, tasks)
+
     async def _finish(self, ends_at: float) -> None:
         while self._front.callers and anyio.current_time() < ends_at:
             self._front.close_idle()
