--- a/catkincrank/gateway/drain.py
+++ b/catkincrank/gateway/drain.py
@@ -80,8 +80,6 @@
             )
             await anyio.sleep(min(_ROTATION_S, self._options.grace_s / 2))
             accepting.cancel()
-            await listener.aclose()
-            self.is_listening = False
             await self._finish(ends_at)
             tasks.cancel_scope.cancel()
         await self._leave()
@@ -96,6 +94,8 @@
         """Serve callers in ``tasks``, so that they outlast the listener."""
         with accepting:
             await listener.serve(self._front.serve, tasks)
+        await listener.aclose()
+        self.is_listening = False
 
     async def _finish(self, ends_at: float) -> None:
         while self._front.callers and anyio.current_time() < ends_at:
