Begin a replacement while the duty settles, and refuse after 2.5 s

Change: members that do not answer three times are removed at once; marking and revoking a group run while the duty settles, the promotion waits for both; a statement is refused after 0.1 s once a primary has been missing for 2.5 s. Ruled out: the promote call (0.3 s of 3.1 s).

--- a/catkincrank/gateway/assembly.py
+++ b/catkincrank/gateway/assembly.py
@@ -75,7 +75,7 @@
         self._address = options.peers
         ledger = readings.ledger
         client = PeerClient()
-        revocation = Revocation(ledger, client)
+        revocation = Revocation(readings.store, ledger, client)
         inspector = Inspector(pools)
         self.tenure = Tenure(readings.store, ledger, revocation)
         self.relay = TableRelay(
--- a/catkincrank/gateway/evidence.py
+++ b/catkincrank/gateway/evidence.py
@@ -63,6 +63,12 @@
             return None
         return grant
 
+    def missing_s(self, now: float) -> float:
+        """Return for how long no grant has held, in seconds."""
+        if self.grant is None:
+            return 0
+        return max(0, now - self.grant.until)
+
     def holds(self, term: int, now: float) -> bool:
         """Return whether a grant for ``term`` holds at ``now``."""
         grant = self.find_grant(now)
--- a/catkincrank/gateway/ledger.py
+++ b/catkincrank/gateway/ledger.py
@@ -56,7 +56,6 @@
         me: Row of this process.
         member_lost_at: When a member's row was last seen to go; at first, when
             this process started, since it cannot know.
-        silent: Members that did not answer when grants were revoked last.
     """
 
     __slots__ = (
@@ -70,7 +69,6 @@
         'member_lost_at',
         'members',
         'records',
-        'silent',
     )
 
     def __init__(
@@ -87,7 +85,6 @@
         self.holder: tuple[int, HolderRecord] | None = None
         self.holder_seen_at: float = 0
         self.member_lost_at = anyio.current_time()
-        self.silent: set[str] = set()
         self._heard_at: dict[str, float] = {}
         self._floors: dict[str, int] = {}
         copy.listen(self.take)
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -27,6 +27,11 @@
 
 # The other endpoints of a group of three are tried without a pause.
 _FREE_TRIES = 2
+# A primary is usually replaced within this time, in seconds; once one has been
+# missing for longer, callers learn at once that they have to come back.
+_GAP_LIMIT_S = 2.5
+# Even then a statement waits this long, so that its caller's tries are spread.
+_LEAST_WAIT_S = 0.1
 # How often a statement that waits for a primary looks again.
 _LOOK_S = 0.05
 # Replies that say that the same statement may run at another endpoint or later.
@@ -152,11 +157,19 @@
             choice = self._choose(need, now)
             if choice is not None:
                 return choice
-            if now >= need.deadline:
+            if now >= need.deadline or self._is_hopeless(need, now):
                 raise StatementFailed(need.refused)
             need.excluded.clear()
             await self._groups.wait(min(need.deadline, now + _LOOK_S))
 
+    def _is_hopeless(self, need: Need, now: float) -> bool:
+        """Return whether a primary has been missing for too long to wait."""
+        evidence = self._groups.evidence(need.route.service)
+        waited_s = now - need.arrived_at
+        return (
+            evidence.missing_s(now) > _GAP_LIMIT_S and waited_s > _LEAST_WAIT_S
+        )
+
     def _choose(self, need: Need, now: float) -> Choice | None:
         service = need.route.service
         evidence = self._groups.evidence(service)
--- a/catkincrank/gateway/revocation.py
+++ b/catkincrank/gateway/revocation.py
@@ -4,11 +4,17 @@
 
 import anyio
 
-from catkincrank.errors import StoreUnavailableError
-from catkincrank.gateway.fleetrecords import MemberRecord
+from catkincrank.errors import ConflictError, StoreUnavailableError
+from catkincrank.gateway.fleetrecords import (
+    FLEET_TABLE,
+    HOLDER_KEY,
+    MemberRecord,
+    member_key,
+)
 from catkincrank.gateway.ledger import GRANT_S, Ledger
 from catkincrank.gateway.peermessages import RevokeReply, RevokeRequest
 from catkincrank.gateway.peers import PeerClient
+from catkincrank.gateway.rowstore import Condition, RowStore
 from catkincrank.logs import log_event
 
 __all__ = ('EXTENSION_S', 'Revocation')
@@ -19,6 +25,8 @@
 EXTENSION_S = 8.0
 _ASK_TIMEOUT_S = 0.25
 _ASK_PAUSE_S = 0.1
+# A member that has not answered this often is removed from the table.
+_TRIES = 3
 
 
 @final
@@ -26,13 +34,20 @@
     """Revokes grants.
 
     Args:
+        store: The platform's store.
         ledger: The fleet's table.
         client: Asks peers.
     """
 
-    __slots__ = ('_client', '_ledger')
+    __slots__ = ('_client', '_ledger', '_store')
 
-    def __init__(self, ledger: Ledger, client: PeerClient) -> None:
+    def __init__(
+        self,
+        store: RowStore,
+        ledger: Ledger,
+        client: PeerClient,
+    ) -> None:
+        self._store = store
         self._ledger = ledger
         self._client = client
 
@@ -41,17 +56,24 @@
         self._ledger.revoke(request.service, request.version)
         return RevokeReply(is_done=True)
 
-    async def revoke_group(self, service: str, version: int) -> None:
+    async def revoke_group(
+        self,
+        service: str,
+        version: int,
+        token: int,
+    ) -> None:
         """Return once no process acts on an older reading of a group's row.
 
         Args:
             service: The group.
             version: Version of the store that marked the group.
+            token: Fencing token of this process.
         """
         ends_at = anyio.current_time() + GRANT_S
         self._ledger.revoke(service, version)
         await self._reload_members()
-        await self._ask_until(service, version, '', ends_at)
+        request = RevokeRequest(service, version, self._ledger.me.name)
+        await self._ask_until(request, token, ends_at)
 
     async def revoke_holder(
         self,
@@ -70,44 +92,66 @@
         ends_at = anyio.current_time() + GRANT_S
         self._ledger.revoke('', version)
         await self._reload_members()
-        await self._ask_until('', version, former, ends_at)
-        if former in self._ledger.silent:
+        request = RevokeRequest('', version, self._ledger.me.name)
+        done = await self._ask_until(request, version, ends_at)
+        if former and former not in done:
             await anyio.sleep_until(max(ends_at, seen_at + EXTENSION_S))
 
+    async def remove(self, members: list[MemberRecord], token: int) -> None:
+        """Remove members, so that they get no grants and nobody waits.
+
+        One that lives registers again.
+        """
+        names = [member.name for member in members]
+        try:
+            await self._store.write(
+                FLEET_TABLE,
+                [Condition(HOLDER_KEY, token)],
+                {},
+                [member_key(name) for name in names],
+            )
+            await self._ledger.copy.reload()
+        except (ConflictError, StoreUnavailableError) as error:
+            log_event('removal_failed', 'WARNING', cause=str(error))
+            return
+        log_event('members_removed', members=names)
+
     async def _ask_until(
         self,
-        service: str,
-        version: int,
-        former: str,
+        request: RevokeRequest,
+        token: int,
         ends_at: float,
-    ) -> None:
-        """Ask until all have given up their grants, or these have ended."""
-        request = RevokeRequest(service, version, self._ledger.me.name)
+    ) -> set[str]:
+        """Ask until all have given up their grants, or these have ended.
+
+        Returns:
+            The names of those that have given them up.
+        """
         done: set[str] = set()
         pending = self._find_pending(done)
+        tries = 0
         while pending and anyio.current_time() < ends_at:
             answers = await self._client.ask_all(
                 pending, request, _ASK_TIMEOUT_S
             )
             done.update(answers)
             pending = self._find_pending(done)
+            tries += 1
+            if tries == _TRIES and pending:
+                await self.remove(pending, token)
             if pending:
                 await anyio.sleep(_ASK_PAUSE_S)
-        # Those that were removed lately may hold grants that nobody asked for.
-        await anyio.sleep_until(
-            min(ends_at, self._ledger.member_lost_at + GRANT_S),
-        )
-        names = {member.name for member in pending}
-        self._ledger.silent = names
-        if former and former not in done:
-            self._ledger.silent.add(former)
         if pending:
             log_event(
                 'grants_expired',
-                service=service,
-                version=version,
-                unreachable=sorted(names),
+                service=request.service,
+                version=request.version,
+                unreachable=sorted(member.name for member in pending),
             )
+        # Those that were removed may hold grants that nobody asked for.
+        lost_at = self._ledger.member_lost_at
+        await anyio.sleep_until(min(ends_at, lost_at + GRANT_S))
+        return done
 
     def _find_pending(self, done: set[str]) -> list[MemberRecord]:
         return [
--- a/catkincrank/gateway/succession.py
+++ b/catkincrank/gateway/succession.py
@@ -116,6 +116,8 @@
         if not marked:
             return
         await self._fence(record, marked)
+        if not await self._tenure.wait_settled():
+            return
         chosen = await self._choose(record, cause)
         if chosen is None:
             await anyio.sleep(_RETRY_PAUSE_S)
@@ -144,7 +146,11 @@
         """Return once nobody acts for the old primary any more."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._demote, record)
-            await self._revocation.revoke_group(record.service, marked)
+            await self._revocation.revoke_group(
+                record.service,
+                marked,
+                self._tenure.token,
+            )
             # Grants have ended: the old primary's answer decides nothing more.
             tasks.cancel_scope.cancel()
 
--- a/catkincrank/gateway/supervision.py
+++ b/catkincrank/gateway/supervision.py
@@ -100,7 +100,7 @@
     async def _watch(self, service: str) -> None:
         watch = _Watch()
         while True:
-            if not (self._tenure.is_mine and self._tenure.is_settled):
+            if not self._tenure.is_mine:
                 watch = _Watch()
                 await anyio.sleep(_INTERVAL_S)
                 continue
--- a/catkincrank/gateway/tenure.py
+++ b/catkincrank/gateway/tenure.py
@@ -13,7 +13,6 @@
     HOLDER_KEY,
     HolderRecord,
     encode_record,
-    member_key,
 )
 from catkincrank.gateway.ledger import GRANT_S, Ledger
 from catkincrank.gateway.revocation import EXTENSION_S, Revocation
@@ -31,6 +30,7 @@
 # Contenders spread their attempts over this time, in seconds.
 _SPREAD_S = 0.6
 _STEP_S = 0.2
+_SETTLED_STEP_S = 0.05
 # A member asks twice a second; one that has not for this long is removed. It
 # registers again if it lives.
 _MEMBER_SILENCE_S = 6.0
@@ -40,7 +40,7 @@
 
 
 @final
-class Tenure:
+class Tenure:  # noqa: WPS214
     """This process's part in the duty to replace primaries.
 
     Args:
@@ -102,6 +102,12 @@
         self.token = 0
         self.is_settled = False
 
+    async def wait_settled(self) -> bool:
+        """Return whether this process holds the duty, once it is settled."""
+        while self.is_mine and not self.is_settled:
+            await anyio.sleep(_SETTLED_STEP_S)
+        return self.is_mine
+
     async def confirm(self) -> bool:
         """Return whether the store has just named this process the holder.
 
@@ -231,16 +237,5 @@
             return
         self._pruned_at = now
         gone = self._ledger.list_unheard(now - _MEMBER_SILENCE_S)
-        if not gone:
-            return
-        try:
-            await self._store.write(
-                FLEET_TABLE,
-                [Condition(HOLDER_KEY, self.token)],
-                {},
-                [member_key(member.name) for member in gone],
-            )
-        except (ConflictError, StoreUnavailableError) as error:
-            log_event('prune_failed', 'WARNING', cause=str(error))
-            return
-        log_event('members_removed', members=[one.name for one in gone])
+        if gone:
+            await self._revocation.remove(gone, self.token)
