Try silent endpoints' reads elsewhere, and test the gateway on stand-ins

Cause: a read at an endpoint that fell silent held on until the route's limit; a write on a pooled link that had ended was in doubt though nothing was sent. Found by test_a_rolled_back_position_is_not_waited_for, first failing. Change: what can be repeated is given up after six times the endpoint's usual answer; links are asked after by the kernel and looked at before use; reads keep away from the primary unless replicas cost half as much again.

--- a/catkincrank/gateway/execution.py
+++ b/catkincrank/gateway/execution.py
@@ -86,14 +86,32 @@
     ) -> Reply:
         was_sent = False
         after = None if need.is_write else choice.after
-        with anyio.CancelScope(deadline=need.deadline):
-            await self._passer.adopt(borrowed, session, statement)
+        limit = need.deadline
+        if not need.is_write:
+            limit = self._placement.limit_try(need, choice.entry)
+        with anyio.CancelScope(deadline=limit):
+            await self._adopt(session, statement, need, choice, borrowed)
             was_sent = True
             reply = await self._passer.run(borrowed, session, statement, after)
             borrowed.give_back()
             return reply
         raise EndpointError('no answer in time', was_sent=was_sent)
 
+    async def _adopt(
+        self,
+        session: Session,
+        statement: Statement,
+        need: Need,
+        choice: Choice,
+        borrowed: BorrowedLink,
+    ) -> None:
+        """Bring the link into the session's state, which can be repeated."""
+        limit = self._placement.limit_try(need, choice.entry)
+        with anyio.CancelScope(deadline=limit):
+            await self._passer.adopt(borrowed, session, statement)
+            return
+        raise EndpointError('no answer in time', was_sent=False)
+
     def _judge(
         self,
         need: Need,
--- a/catkincrank/gateway/link.py
+++ b/catkincrank/gateway/link.py
@@ -117,6 +117,11 @@
     async def close(self) -> None:
         """Close without waiting for the endpoint."""
 
+    @property
+    def is_alive(self) -> bool:
+        """Whether the connection has not ended, as far as can be told."""
+        return True
+
     @property
     @abstractmethod
     def status(self) -> TransactionStatus:
--- a/catkincrank/gateway/linkpools.py
+++ b/catkincrank/gateway/linkpools.py
@@ -146,17 +146,13 @@
             EndpointError: The endpoint cannot be reached.
         """
         runner = self._find(entry)
-        ticket = runner.ask(
-            QueueEntry(
-                next(self._numbers),
-                route.name,
-                deadline,
-                max(1, _TOP_WEIGHT >> route.priority),
-                entry.service,
-                anyio.current_time(),
-            ),
-        )
-        return BorrowedLink(entry, runner, await runner.wait(ticket))
+        while True:
+            ticket = runner.ask(self._make_entry(entry, route, deadline))
+            number = await runner.wait(ticket)
+            borrowed = BorrowedLink(entry, runner, number)
+            if borrowed.link.is_alive:
+                return borrowed
+            borrowed.discard(is_lost=True)
 
     def load_of(self, entry: EndpointEntry) -> int:
         """Return how many requests hold or await a link to an endpoint."""
@@ -191,6 +187,21 @@
         for runner in tuple(self._runners.values()):
             await runner.close()  # noqa: WPS476
 
+    def _make_entry(
+        self,
+        entry: EndpointEntry,
+        route: Route,
+        deadline: float,
+    ) -> QueueEntry:
+        return QueueEntry(
+            next(self._numbers),
+            route.name,
+            deadline,
+            max(1, _TOP_WEIGHT >> route.priority),
+            entry.service,
+            anyio.current_time(),
+        )
+
     def _find(self, entry: EndpointEntry) -> PoolRunner:
         key = key_of(entry)
         runner = self._runners.get(key)
--- a/catkincrank/gateway/peers.py
+++ b/catkincrank/gateway/peers.py
@@ -115,14 +115,18 @@
         """Let ``answer`` answer messages of a type."""
         self._answers[message_type] = answer
 
+    async def answer(self, message: Any) -> Any | None:
+        """Return the answer to a message; ``None`` if it is not understood."""
+        find_answer = self._answers.get(type(message))
+        return None if find_answer is None else await find_answer(message)
+
     async def run(self, host: str, port: int) -> None:
         """Serve until cancelled."""
         await listen(host, port, self._serve)
 
     async def _serve(self, link: Link) -> None:
         while True:
-            message = await link.receive()
-            answer = self._answers.get(type(message))
+            answer = await self.answer(await link.receive())
             if answer is None:
                 return
-            await link.send(await answer(message))
+            await link.send(answer)
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -32,6 +32,13 @@
 _GAP_LIMIT_S = 2.5
 # Even then a statement waits this long, so that its caller's tries are spread.
 _LEAST_WAIT_S = 0.1
+# Reads keep away from the primary, which alone can run writes, unless replicas
+# cost half as much again.
+_PRIMARY_COST = 1.5
+# A read is tried elsewhere after this many of the endpoint's usual answers: a
+# tenth of them take five times the mean, and each costs the endpoint its work.
+_TRY_FACTOR = 6
+_LEAST_TRY_S = 0.3
 # How often a statement that waits for a primary looks again.
 _LOOK_S = 0.05
 # Replies that say that the same statement may run at another endpoint or later.
@@ -132,6 +139,17 @@
                 ) from None
             return choice, borrowed
 
+    def limit_try(self, need: Need, entry: EndpointEntry) -> float:
+        """Return until when an endpoint may take for what can be repeated.
+
+        An endpoint that stays silent for several times its usual answer is
+        given up, so that another one can still answer in time.
+        """
+        now = anyio.current_time()
+        usual_s = self._latencies.expect(entry, now)
+        limit_s = max(_LEAST_TRY_S, _TRY_FACTOR * usual_s)
+        return min(need.deadline, now + limit_s)
+
     def may_move(self, failure: Failure) -> bool:
         """Return whether a refused statement may be tried elsewhere."""
         return failure in _MOVABLE
@@ -201,4 +219,7 @@
 
     def _cost(self, entry: EndpointEntry, now: float) -> float:
         expected = self._latencies.expect(entry, now)
+        grant = self._groups.evidence(entry.service).grant
+        if grant is not None and grant.endpoint_id == entry.endpoint_id:
+            expected *= _PRIMARY_COST
         return expected * (1 + self._pools.load_of(entry))
--- a/catkincrank/gateway/transactions.py
+++ b/catkincrank/gateway/transactions.py
@@ -250,7 +250,8 @@
         choice: Choice,
         borrowed: BorrowedLink,
     ) -> Reply:
-        with anyio.CancelScope(deadline=need.deadline):
+        limit = self._placement.limit_try(need, choice.entry)
+        with anyio.CancelScope(deadline=limit):
             await self._passer.adopt(borrowed, session, statement)
             return await self._passer.begin(
                 borrowed,
--- a/catkincrank/platform/endpoints.py
+++ b/catkincrank/platform/endpoints.py
@@ -3,7 +3,7 @@
 from typing import Final, final
 
 import anyio
-from anyio.abc import ByteStream
+from anyio.abc import SocketStream
 
 from catkincrank.endpoint import TransactionStatus
 from catkincrank.errors import EndpointError
@@ -17,6 +17,7 @@
 from catkincrank.gateway.reply import Failure, Refusal, Reply
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.gateway.statement import Kind, Prepared, Statement
+from catkincrank.keepalive import has_news, watch_peer
 from catkincrank.platform.lines import HANG_UPS, LineReader, LineTooLongError
 from catkincrank.platform.words import FAILURES, parse_position, parse_status
 
@@ -48,7 +49,7 @@
         'values',
     )
 
-    def __init__(self, stream: ByteStream, endpoint_id: str) -> None:
+    def __init__(self, stream: SocketStream, endpoint_id: str) -> None:
         self._stream = stream
         self._reader = LineReader(stream)
         self._endpoint_id = endpoint_id
@@ -61,6 +62,11 @@
         """The transaction state that the endpoint reported last."""
         return self._status
 
+    @property
+    def is_alive(self) -> bool:
+        """Whether the connection has not ended, as far as can be told."""
+        return not has_news(self._stream)
+
     async def start(self, service: str, application: str) -> None:
         """Open the session.
 
@@ -224,6 +230,7 @@
             stream = await anyio.connect_tcp(entry.host, entry.port)
         except OSError as error:
             raise EndpointError(repr(error), was_sent=False) from None
+        watch_peer(stream)
         link = LineLink(stream, entry.endpoint_id)
         try:
             await link.start(entry.service, application)
--- /dev/null
+++ b/catkincrank/standins/linegroup.py
@@ -0,0 +1,181 @@
+"""Stand-in for a group of endpoints that prove log positions."""
+
+from dataclasses import dataclass, field
+from typing import final
+
+import anyio
+
+from catkincrank.gateway.link import EndpointState
+from catkincrank.gateway.position import Position
+from catkincrank.gateway.promoter import Promoter, PromotionError
+from catkincrank.gateway.roster import EndpointEntry
+
+__all__ = ('LineGroup', 'LineInstance', 'MemoryPromoter', 'Promotion')
+
+_LEAST = Position(1, 0)
+_WORK_S = 0.005
+
+
+@final
+@dataclass(slots=True)
+class LineInstance:
+    """One endpoint.
+
+    Attributes:
+        endpoint_id: Its identifier.
+        is_primary: Whether it takes itself for the primary.
+        term: Term that it follows or leads.
+        log: Its entries, each with the time of its commit.
+        lag_s: How far it is behind the primary, in seconds.
+        is_up: Whether it answers.
+        lost_answers: How many statements run without an answer from now on.
+        work_s: How long a statement takes, in seconds.
+        ran: Identifiers of the statements that ran, in order.
+    """
+
+    endpoint_id: str
+    is_primary: bool = False
+    term: int = 1
+    log: list[tuple[float, Position]] = field(default_factory=list)
+    lag_s: float = 0
+    is_up: bool = True
+    lost_answers: int = 0
+    work_s: float = _WORK_S
+    ran: list[bytes] = field(default_factory=list)
+
+    @property
+    def position(self) -> Position:
+        """Position of the newest entry."""
+        return self.log[-1][1] if self.log else _LEAST
+
+
+@final
+class LineGroup:
+    """Endpoints of one service.
+
+    Args:
+        service: Name of the service.
+        names: Identifiers of the endpoints; the first one leads.
+        promote_s: How long a promotion takes, in seconds.
+
+    Attributes:
+        leader: The primary of the newest term, even if it was demoted.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        names: tuple[str, ...],
+        promote_s: float = 0.3,
+    ) -> None:
+        self.service = service
+        self.promote_s = promote_s
+        self.instances = {name: LineInstance(name) for name in names}
+        self.leader = self.instances[names[0]]
+        self.leader.is_primary = True
+
+    def list_entries(self) -> list[EndpointEntry]:
+        """Return the registrations of the endpoints."""
+        return [
+            EndpointEntry(
+                one.endpoint_id,
+                self.service,
+                '127.0.0.1',
+                1,
+                'zone',
+                2,
+                claims_primary=one.is_primary,
+            )
+            for one in self.instances.values()
+        ]
+
+    def commit(self, instance: LineInstance) -> Position:
+        """Add an entry to a primary's log."""
+        position = Position(instance.term, instance.position.number + 1)
+        instance.log.append((anyio.current_time(), position))
+        return position
+
+    def catch_up(self) -> None:
+        """Let the replicas receive what is old enough for their lag."""
+        source = self.leader
+        if not source.is_up:
+            return
+        now = anyio.current_time()
+        for one in self.instances.values():
+            if one.is_primary or not one.is_up:
+                continue
+            arrived = [
+                entry for entry in source.log if entry[0] <= now - one.lag_s
+            ]
+            one.log = max(one.log, arrived, key=len)
+            one.term = source.term
+
+    def promote(self, endpoint_id: str) -> None:
+        """Make an endpoint lead the next term with what it has."""
+        chosen = self.instances[endpoint_id]
+        if chosen is self.leader:
+            return
+        chosen.term = self.leader.term + 1
+        chosen.is_primary = True
+        self.leader = chosen
+        for one in self.instances.values():
+            one.log = one.log[: len(chosen.log)]
+
+    def describe(self, instance: LineInstance) -> EndpointState:
+        """Return what an endpoint says of its part in the group."""
+        self.catch_up()
+        return EndpointState(
+            instance.is_primary,
+            instance.term,
+            instance.position,
+            instance.term,
+        )
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Promotion:
+    """A call for a promotion, as the platform saw it."""
+
+    at: float
+    service: str
+    endpoint_id: str
+    holder: str
+    token: int
+
+
+@final
+class MemoryPromoter(Promoter):
+    """Promotes endpoints of groups in this process.
+
+    Args:
+        groups: The groups by service.
+        holder: Name of the process that calls.
+        calls: Where calls are recorded.
+    """
+
+    def __init__(
+        self,
+        groups: dict[str, LineGroup],
+        holder: str,
+        calls: list[Promotion],
+    ) -> None:
+        self._groups = groups
+        self._holder = holder
+        self._calls = calls
+
+    async def promote(self, service: str, endpoint_id: str, token: int) -> None:
+        """Make an endpoint the primary."""
+        group = self._groups[service]
+        if not group.instances[endpoint_id].is_up:
+            raise PromotionError(
+                'not running',
+                may_have_applied=False,
+                is_refused=True,
+            )
+        now = anyio.current_time()
+        self._calls.append(
+            Promotion(now, service, endpoint_id, self._holder, token),
+        )
+        await anyio.sleep(group.promote_s)
+        group.promote(endpoint_id)
--- /dev/null
+++ b/catkincrank/standins/linelink.py
@@ -0,0 +1,259 @@
+"""Links to stand-in endpoints, without a network."""
+
+from typing import final
+
+import anyio
+
+from catkincrank.endpoint import TransactionStatus
+from catkincrank.errors import EndpointError
+from catkincrank.gateway.link import EndpointLink, EndpointState, LinkDriver
+from catkincrank.gateway.position import Position
+from catkincrank.gateway.reply import Failure, Refusal, Reply
+from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.gateway.statement import Kind, Prepared, Statement
+from catkincrank.standins.linegroup import LineGroup, LineInstance
+
+__all__ = ('MemoryDriver', 'MemoryLink', 'Run')
+
+_FOREVER_S = 3600
+
+
+@final
+class Run:
+    """A statement as an endpoint ran it.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        link: The connection.
+        text: The statement.
+        values: Session values on the connection.
+        is_in_transaction: Whether a transaction was open.
+    """
+
+    __slots__ = ('endpoint_id', 'is_in_transaction', 'link', 'text', 'values')
+
+    def __init__(self, link: 'MemoryLink', text: bytes) -> None:
+        self.endpoint_id = link.instance.endpoint_id
+        self.link = link
+        self.text = text
+        self.values = dict(link.set_values)
+        self.is_in_transaction = link.status is TransactionStatus.OPEN
+
+
+@final
+class MemoryLink(EndpointLink):  # noqa: WPS214
+    """One connection to a stand-in endpoint.
+
+    Args:
+        group: Its group.
+        instance: The endpoint.
+        runs: Where statements are recorded.
+    """
+
+    def __init__(
+        self,
+        group: LineGroup,
+        instance: LineInstance,
+        runs: list[Run],
+    ) -> None:
+        self.instance = instance
+        self.values: dict[bytes, bytes] = {}
+        self.prepared: dict[Prepared, bytes] = {}
+        self.set_values: dict[bytes, bytes] = {}
+        self._group = group
+        self._runs = runs
+        self._status = TransactionStatus.IDLE
+        self._has_written = False
+        self._is_read_only = False
+
+    @property
+    def status(self) -> TransactionStatus:
+        """The transaction state that the endpoint reported last."""
+        return self._status
+
+    async def run(
+        self,
+        statement: Statement,
+        after: Position | None = None,
+        alias: bytes = b'',
+    ) -> Reply:
+        """Run a caller's statement."""
+        await self._work()
+        failure = self._check(statement, after, alias)
+        if failure is not None:
+            return self._refuse(failure)
+        self.instance.ran.append(statement.request_id)
+        self._runs.append(Run(self, statement.text))
+        self._apply(statement, alias)
+        if self.instance.lost_answers:
+            self.instance.lost_answers -= 1
+            raise EndpointError('answer lost', was_sent=True)
+        return self._reply(b'row', signature=b'sig')
+
+    async def begin(
+        self,
+        *,
+        is_read_only: bool,
+        after: Position | None,
+    ) -> Reply:
+        """Begin a transaction."""
+        await self._work()
+        if not (is_read_only or self.instance.is_primary):
+            return self._refuse(Failure.READ_ONLY)
+        if after is not None and self.instance.position < after:
+            return self._refuse(Failure.LAGGING)
+        self._status = TransactionStatus.OPEN
+        self._is_read_only = is_read_only
+        return self._reply()
+
+    async def roll_back(self) -> Reply:
+        """Roll the transaction back."""
+        await self._work()
+        self._end()
+        return self._reply()
+
+    async def configure(
+        self,
+        values: dict[bytes, bytes],
+        prepared: Prepared | None,
+        *,
+        is_reset: bool,
+    ) -> bool:
+        """Set values and prepare a statement."""
+        await self._work()
+        if is_reset:
+            self.set_values.clear()
+            self.prepared.clear()
+        self.set_values.update(values)
+        self.values = dict(self.set_values)
+        if prepared is not None:
+            self.prepared[prepared] = b'p%d' % len(self.prepared)
+        return True
+
+    async def fetch_state(self) -> EndpointState | None:
+        """Return the endpoint's state."""
+        await self._work()
+        return self._group.describe(self.instance)
+
+    async def pause(self, term: int) -> EndpointState | None:
+        """Stop a replica from receiving."""
+        return await self.fetch_state()
+
+    async def resume(self) -> EndpointState | None:
+        """Let a replica receive again."""
+        return await self.fetch_state()
+
+    async def demote(self, term: int) -> EndpointState | None:
+        """Make a primary of a term below ``term`` a replica."""
+        await self._work()
+        if self.instance.term < term:
+            self.instance.is_primary = False
+        return EndpointState(
+            self.instance.is_primary,
+            self.instance.term,
+            self.instance.position,
+            term,
+        )
+
+    async def probe(self) -> None:
+        """Find out whether the endpoint answers."""
+        await self._work()
+
+    async def close(self) -> None:
+        """Close the connection."""
+
+    async def _work(self) -> None:
+        if not self.instance.is_up:
+            await anyio.sleep(_FOREVER_S)
+        await anyio.sleep(self.instance.work_s)
+        self._group.catch_up()
+
+    def _check(
+        self,
+        statement: Statement,
+        after: Position | None,
+        alias: bytes,
+    ) -> Failure | None:
+        if after is not None and self.instance.position < after:
+            return Failure.LAGGING
+        may_write = self.instance.is_primary and not self._is_read_only
+        if self._writes(statement, alias) and not may_write:
+            return Failure.READ_ONLY
+        if statement.kind is Kind.EXECUTE:
+            if alias not in self.prepared.values():
+                return Failure.UNKNOWN_NAME
+        return None
+
+    def _writes(self, statement: Statement, alias: bytes) -> bool:
+        named = {name: one for one, name in self.prepared.items()}
+        if statement.kind is Kind.EXECUTE and alias in named:
+            return named[alias].is_write
+        return statement.kind is Kind.WRITE
+
+    def _apply(self, statement: Statement, alias: bytes) -> None:
+        is_open = self._status is TransactionStatus.OPEN
+        if self._writes(statement, alias):
+            self._has_written = True
+            if not is_open:
+                self._commit()
+        elif statement.kind is Kind.COMMIT:
+            self._commit()
+            self._end()
+
+    def _end(self) -> None:
+        self._has_written = False
+        self._is_read_only = False
+        self._status = TransactionStatus.IDLE
+
+    def _commit(self) -> None:
+        if self._has_written:
+            self._group.commit(self.instance)
+        self._has_written = False
+
+    def _refuse(self, failure: Failure) -> Reply:
+        if self._status is TransactionStatus.OPEN:
+            self._status = TransactionStatus.FAILED
+        return Reply(
+            refusal=Refusal(failure),
+            status=self._status,
+            position=self.instance.position,
+        )
+
+    def _reply(self, *rows: bytes, signature: bytes = b'') -> Reply:
+        return Reply(
+            rows,
+            signature,
+            status=self._status,
+            position=self.instance.position,
+        )
+
+
+@final
+class MemoryDriver(LinkDriver):
+    """Opens links to stand-in endpoints.
+
+    Args:
+        groups: The groups by service.
+        runs: Where statements are recorded.
+    """
+
+    def __init__(self, groups: dict[str, LineGroup], runs: list[Run]) -> None:
+        self._groups = groups
+        self._runs = runs
+        self.is_refusing = False
+        self.opened = 0
+
+    async def connect(
+        self,
+        entry: EndpointEntry,
+        application: str,
+    ) -> MemoryLink:
+        """Open a link."""
+        group = self._groups[entry.service]
+        instance = group.instances[entry.endpoint_id]
+        self.opened += 1
+        if self.is_refusing:
+            raise EndpointError('too many connections', was_sent=False)
+        if not instance.is_up:
+            await anyio.sleep(_FOREVER_S)
+        return MemoryLink(group, instance, self._runs)
--- /dev/null
+++ b/catkincrank/standins/memoryrows.py
@@ -0,0 +1,142 @@
+"""Stand-in for the platform's table service, without a network."""
+
+from collections.abc import Mapping, Sequence
+from typing import final
+
+import anyio
+
+from catkincrank.errors import ConflictError, StoreUnavailableError
+from catkincrank.gateway.rowstore import (
+    Changes,
+    Condition,
+    HistoryLostError,
+    RowChange,
+    RowStore,
+)
+
+__all__ = ('MemoryRows', 'MemoryRowStore')
+
+_ANSWER_S = 0.004
+
+
+@final
+class MemoryRows:
+    """Rows that several clients share, and their faults.
+
+    Attributes:
+        version: Newest version.
+        is_down: Whether every call fails.
+        turned_away: Names of clients whose calls fail.
+        lost_answers: How many writes take effect without an answer.
+        horizon: Versions up to this one have no history any more.
+        calls: Calls so far.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.is_down = False
+        self.turned_away: set[str] = set()
+        self.lost_answers = 0
+        self.horizon = 0
+        self.calls = 0
+        self.rows: dict[tuple[str, str], RowChange] = {}
+        self.changed = anyio.Event()
+
+    def write(
+        self,
+        table: str,
+        conditions: Sequence[Condition],
+        bodies: Mapping[str, bytes | None],
+    ) -> int:
+        """Apply a transaction."""
+        for one in conditions:
+            found = self.rows.get((table, one.key))
+            is_there = found is not None and found.body is not None
+            version = found.version if is_there else 0
+            if version != one.version:
+                raise ConflictError(one.key, one.version, version)
+        self.version += 1
+        for key, body in bodies.items():
+            self.rows[table, key] = RowChange(key, body, self.version)
+        changed = self.changed
+        self.changed = anyio.Event()
+        changed.set()
+        return self.version
+
+    def list_rows(self, table: str, after: int = -1) -> tuple[RowChange, ...]:
+        """Return the rows of a table that changed after a version."""
+        found = [
+            row
+            for (of_table, _), row in self.rows.items()
+            if of_table == table and row.version > after
+        ]
+        return tuple(sorted(found, key=_version_of))
+
+
+@final
+class MemoryRowStore(RowStore):
+    """A client of shared rows.
+
+    Args:
+        shared: The rows.
+        name: Name of the client.
+    """
+
+    def __init__(self, shared: MemoryRows, name: str) -> None:
+        self._shared = shared
+        self._name = name
+
+    async def read_table(self, table: str) -> Changes:
+        """Return every row of a table."""
+        await self._admit()
+        live = [
+            row for row in self._shared.list_rows(table) if row.body is not None
+        ]
+        return Changes(tuple(live), self._shared.version)
+
+    async def follow(self, table: str, after: int, wait_s: float) -> Changes:
+        """Return what changed after a version."""
+        await self._admit()
+        if after < self._shared.horizon:
+            raise HistoryLostError('compacted')
+        with anyio.move_on_after(wait_s):
+            while not self._shared.list_rows(table, after):
+                await self._shared.changed.wait()
+        self._check()
+        found = self._shared.list_rows(table, after)
+        return Changes(found, self._shared.version)
+
+    async def write(
+        self,
+        table: str,
+        conditions: Sequence[Condition],
+        bodies: Mapping[str, bytes],
+        removed: Sequence[str] = (),
+    ) -> int:
+        """Write rows together, if the conditions hold."""
+        await self._admit()
+        written = self._shared.write(
+            table,
+            conditions,
+            {**bodies, **dict.fromkeys(removed)},
+        )
+        if self._shared.lost_answers:
+            self._shared.lost_answers -= 1
+            raise StoreUnavailableError('answer lost', may_have_applied=True)
+        return written
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+    async def _admit(self) -> None:
+        self._shared.calls += 1
+        await anyio.sleep(_ANSWER_S)
+        self._check()
+
+    def _check(self) -> None:
+        if self._shared.is_down or self._name in self._shared.turned_away:
+            raise StoreUnavailableError('status 503', may_have_applied=False)
+
+
+def _version_of(row: RowChange) -> int:
+    return row.version
--- /dev/null
+++ b/tests/gatewaypath.py
@@ -0,0 +1,74 @@
+"""A data path over stand-in endpoints, for tests."""
+
+import anyio
+
+from catkincrank.gateway.catalog import Catalog, Consistency, Route, Service
+from catkincrank.gateway.choice import Latencies
+from catkincrank.gateway.evidence import Grant
+from catkincrank.gateway.execution import Execution
+from catkincrank.gateway.front import Front
+from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.linkpools import LinkPools
+from catkincrank.gateway.passing import Passer
+from catkincrank.gateway.placement import Placement
+from catkincrank.gateway.requestlog import LineBudget, RequestLog
+from catkincrank.gateway.session import Session
+from catkincrank.gateway.transactions import Transactions
+from catkincrank.metrics import Metrics
+from catkincrank.platform.callers import LineCodec, parse_statement
+from catkincrank.standins.linegroup import LineGroup
+from catkincrank.standins.linelink import MemoryDriver
+
+STRONG = Route('s', 'strong', 'svc', Consistency.STRONG, 0, 0.8, 0.3, 1)
+BOUNDED = Route('b', 'bounded', 'svc', Consistency.BOUNDED, 1.5, 0.8, 0.3, 1)
+SESSION = Route('o', 'own', 'svc', Consistency.SESSION, 2.5, 0.8, 0.3, 1)
+ROUTES = {route.database: route for route in (STRONG, BOUNDED, SESSION)}
+CATALOG = Catalog(1, ROUTES, {'svc': Service('svc', 9, 0)}, 3)
+
+
+class Path:
+    """One gateway's data path before a group of three endpoints."""
+
+    def __init__(self, tasks):
+        self.group = LineGroup('svc', ('a', 'b', 'c'))
+        self.runs = []
+        self.driver = MemoryDriver({'svc': self.group}, self.runs)
+        self.groups = Groups()
+        self.groups.accept(CATALOG)
+        for entry in self.group.list_entries():
+            self.groups.roster.put(entry)
+        self.pools = LinkPools(self.driver, 'test', tasks)
+        self.pools.configure(self.group.list_entries(), {'svc': 3})
+        latencies = Latencies('zone', {})
+        passer = Passer(self.groups, latencies)
+        placement = Placement(self.groups, self.pools, latencies)
+        self.front = Front(
+            self.groups,
+            Execution(self.groups, placement, passer),
+            Transactions(self.groups, placement, passer),
+            RequestLog(Metrics(), LineBudget()),
+            LineCodec,
+        )
+        tasks.start_soon(self.pools.run)
+        self._numbers = 0
+
+    @property
+    def evidence(self):
+        return self.groups.evidence('svc')
+
+    def grant(self, name='a', term=1, length_s=3600, bases=()):
+        self.evidence.take_grant(
+            Grant(name, term, anyio.current_time() + length_s, bases),
+        )
+        self.groups.wake()
+
+    def open(self, database):
+        return Session(database, 'user')
+
+    async def ask(self, session, text):
+        self._numbers += 1
+        statement = parse_statement(b'%d' % self._numbers, text)
+        return await self.front._answer(session, statement)
+
+    async def run_script(self, session, *texts):
+        return [await self.ask(session, text) for text in texts]
--- /dev/null
+++ b/tests/test_gateway_execution.py
@@ -0,0 +1,252 @@
+import anyio
+import pytest
+
+from catkincrank.endpoint import TransactionStatus
+from catkincrank.gateway.position import Position
+from catkincrank.gateway.reply import Failure
+from tests import virtualtime
+from tests.gatewaypath import Path
+
+
+def _run(scenario):
+    """Run ``scenario(path)`` in virtual time; return what it returns."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            path = Path(tasks)
+            path.grant()
+            with anyio.fail_after(60):
+                found = await scenario(path)
+            tasks.cancel_scope.cancel()
+        return found
+
+    return virtualtime.run(run)
+
+
+def _outcome(reply):
+    return 'ok' if reply.refusal is None else reply.refusal.failure
+
+
+@pytest.mark.parametrize(
+    ('database', 'texts', 'outcomes', 'status'),
+    [
+        ('strong', [b'READ k'], ['ok'], 'I'),
+        ('strong', [b'WRITE k v'], ['ok'], 'I'),
+        ('own', [b'WRITE k v', b'READ k'], ['ok', 'ok'], 'I'),
+        ('own', [b'BEGIN', b'WRITE k v', b'COMMIT'], ['ok'] * 3, 'I'),
+        ('own', [b'BEGIN READ', b'READ k', b'COMMIT'], ['ok'] * 3, 'I'),
+        ('own', [b'BEGIN', b'COMMIT'], ['ok', 'ok'], 'I'),
+        ('own', [b'BEGIN', b'ROLLBACK'], ['ok', 'ok'], 'I'),
+        ('own', [b'BEGIN', b'READ k'], ['ok', 'ok'], 'T'),
+        (
+            'own',
+            [b'BEGIN READ', b'WRITE k v', b'READ k', b'ROLLBACK'],
+            ['ok', Failure.READ_ONLY, Failure.MALFORMED, 'ok'],
+            'I',
+        ),
+        (
+            'own',
+            [b'PREPARE s READ x', b'EXECUTE s k', b'CLOSE s', b'EXECUTE s k'],
+            ['ok', 'ok', 'ok', Failure.UNKNOWN_NAME],
+            'I',
+        ),
+        ('other', [b'READ k'], [Failure.UNKNOWN_DATABASE], 'I'),
+    ],
+)
+def test_scripts(database, texts, outcomes, status):
+    async def scenario(path):
+        # The first read samples the primary's position.
+        session = path.open(database)
+        replies = await path.run_script(session, *texts)
+        return [_outcome(one) for one in replies], session.status
+
+    found, found_status = _run(scenario)
+    assert found == outcomes
+    assert found_status is TransactionStatus(status)
+
+
+def test_reads_go_to_replicas_once_the_primary_was_sampled():
+    async def scenario(path):
+        for one in path.group.instances.values():
+            one.work_s = 0.02
+        await path.ask(path.open('strong'), b'READ k')
+        session = path.open('bounded')
+        for _ in range(20):
+            await path.ask(session, b'READ k')
+            await path.ask(path.open('strong'), b'WRITE k v')
+        return {run.endpoint_id for run in path.runs if run.text == b'READ k'}
+
+    assert _run(scenario) - {'a'}
+
+
+def test_a_session_sees_its_own_write_at_a_replica_that_lags():
+    async def scenario(path):
+        for name in ('b', 'c'):
+            path.group.instances[name].lag_s = 2
+        session = path.open('own')
+        await path.ask(session, b'WRITE k v')
+        await path.ask(session, b'READ k')
+        return path.runs[-1].endpoint_id
+
+    assert _run(scenario) == 'a'
+
+
+def test_a_read_of_stated_age_runs_at_a_replica_that_lags_less():
+    async def scenario(path):
+        for name in ('b', 'c'):
+            path.group.instances[name].lag_s = 1
+        path.group.instances['a'].work_s = 0.1
+        for _ in range(30):
+            await path.ask(path.open('strong'), b'WRITE k v')
+        path.runs.clear()
+        for _ in range(10):
+            await path.ask(path.open('bounded'), b'READ k')
+        return {run.endpoint_id for run in path.runs}
+
+    assert not _run(scenario) <= {'a'}
+
+
+@pytest.mark.parametrize(
+    ('database', 'texts', 'outcome'),
+    [
+        ('strong', [b'WRITE k v'], Failure.IN_DOUBT),
+        ('strong', [b'READ k'], 'ok'),
+        ('own', [b'BEGIN', b'READ k', b'WRITE k v'], Failure.ABORTED),
+        ('own', [b'BEGIN', b'WRITE k v', b'COMMIT'], Failure.IN_DOUBT),
+    ],
+)
+def test_an_answer_is_lost(database, texts, outcome):
+    async def scenario(path):
+        session = path.open(database)
+        await path.run_script(session, *texts[:-1])
+        path.group.instances['a'].lost_answers = 1
+        reply = await path.ask(session, texts[-1])
+        return _outcome(reply), path.group.instances['a'].log
+
+    found, log = _run(scenario)
+    assert found == outcome
+    assert len(log) <= 1
+
+
+@pytest.mark.parametrize(
+    'texts',
+    [[b'WRITE k v'], [b'BEGIN', b'WRITE k v', b'COMMIT']],
+)
+def test_a_commit_is_not_acknowledged_after_its_grant_ended(texts):
+    async def scenario(path):
+        session = path.open('strong')
+        await path.run_script(session, *texts[:-1])
+        path.group.instances['a'].work_s = 0.5
+        path.grant(length_s=0.3)
+        reply = await path.ask(session, texts[-1])
+        return _outcome(reply), len(path.group.instances['a'].log)
+
+    assert _run(scenario) == (Failure.IN_DOUBT, 1)
+
+
+def test_strong_reads_wait_for_a_grant_and_are_refused_in_time():
+    async def scenario(path):
+        path.grant(length_s=0)
+        began = anyio.current_time()
+        reply = await path.ask(path.open('strong'), b'READ k')
+        return _outcome(reply), anyio.current_time() - began, path.runs
+
+    outcome, took_s, runs = _run(scenario)
+    assert outcome is Failure.OVERLOADED
+    assert took_s <= 0.81
+    assert not runs
+
+
+def test_callers_are_refused_at_once_when_the_primary_is_long_gone():
+    async def scenario(path):
+        path.grant(length_s=0)
+        await anyio.sleep(5)
+        began = anyio.current_time()
+        reply = await path.ask(path.open('strong'), b'WRITE k v')
+        return _outcome(reply), anyio.current_time() - began
+
+    outcome, took_s = _run(scenario)
+    assert outcome is Failure.OVERLOADED
+    assert took_s <= 0.2
+
+
+def test_a_waiting_write_runs_once_the_next_primary_is_granted():
+    async def scenario(path):
+        path.grant(length_s=0)
+        replies = []
+
+        async def write():
+            replies.append(await path.ask(path.open('strong'), b'WRITE k v'))
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(write)
+            await anyio.sleep(0.3)
+            path.group.promote('b')
+            path.grant('b', 2)
+        return _outcome(replies[0]), path.runs[-1].endpoint_id
+
+    assert _run(scenario) == ('ok', 'b')
+
+
+@pytest.mark.parametrize('database', ['strong', 'bounded', 'own'])
+def test_refusing_endpoints_are_not_asked_without_a_pause(database):
+    """Statements spun without a pause when every endpoint refused."""
+
+    async def scenario(path):
+        await path.ask(path.open('strong'), b'READ k')
+        await path.pools.close()
+        path.pools._runners.clear()
+        path.driver.is_refusing = True
+        path.driver.opened = 0
+        reply = await path.ask(path.open(database), b'READ k')
+        return _outcome(reply), path.driver.opened
+
+    outcome, opened = _run(scenario)
+    assert outcome is Failure.OVERLOADED
+    assert opened < 60
+
+
+def test_values_and_names_follow_a_session_between_connections():
+    async def scenario(path):
+        first, second = path.open('own'), path.open('own')
+        await path.run_script(first, b'SET x 1', b'PREPARE s READ q')
+        await path.run_script(second, b'SET y 2', b'PREPARE s READ r')
+        replies = []
+        for _ in range(5):
+            replies.append(await path.ask(first, b'EXECUTE s k'))
+            replies.append(await path.ask(second, b'EXECUTE s k'))
+        return [_outcome(one) for one in replies], path.runs
+
+    outcomes, runs = _run(scenario)
+    assert outcomes == ['ok'] * 10
+    expected = [{b'x': b'1'}, {b'y': b'2'}] * 5
+    assert [run.values for run in runs] == expected
+
+
+def test_a_rolled_back_position_is_not_waited_for():
+    async def scenario(path):
+        session = path.open('own')
+        for name in ('b', 'c'):
+            path.group.instances[name].lag_s = 3600
+        await path.run_script(session, b'WRITE k v', b'WRITE k v')
+        assert session.mark == Position(1, 2)
+        base = path.group.instances['b'].position
+        path.group.instances['a'].is_up = False
+        path.group.promote('b')
+        path.grant('b', 2, bases=((2, base),))
+        return _outcome(await path.ask(session, b'READ k'))
+
+    assert _run(scenario) == 'ok'
+
+
+def test_an_idle_transaction_gives_its_link_back():
+    async def scenario(path):
+        session = path.open('own')
+        await path.run_script(session, b'BEGIN', b'WRITE k v')
+        await path.front._end_idle(session)
+        replies = await path.run_script(session, b'READ k', b'ROLLBACK')
+        return [_outcome(one) for one in replies], path.group.leader.log
+
+    outcomes, log = _run(scenario)
+    assert outcomes == [Failure.MALFORMED, 'ok']
+    assert not log
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,434 @@
+import ast
+import base64
+from pathlib import Path
+
+import anyio
+import msgspec
+import pytest
+
+from catkincrank.errors import (
+    ConflictError,
+    EndpointError,
+    OptionError,
+    StoreUnavailableError,
+)
+from catkincrank.gateway.catalog import Consistency
+from catkincrank.gateway.link import EndpointState
+from catkincrank.gateway.position import Position
+from catkincrank.gateway.promoter import PromotionError
+from catkincrank.gateway.reply import Failure
+from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.gateway.rowstore import Condition, HistoryLostError
+from catkincrank.gateway.statement import Kind, Prepared, Statement
+from catkincrank.httpserver import HttpResponse, HttpServer
+from catkincrank.platform.callers import parse_statement
+from catkincrank.platform.documents import decode_catalog, decode_entry
+from catkincrank.platform.endpoints import LineDriver
+from catkincrank.platform.promotion import PlatformPromoter
+from catkincrank.platform.settings import read_settings
+from catkincrank.platform.store import PlatformStore
+from catkincrank.verdict import Verdict
+
+PACKAGE = Path(__file__).parent.parent / 'catkincrank'
+# What the adapter may know: types, plumbing and registries, nothing that
+# decides.
+TYPES = {
+    'callers',
+    'catalog',
+    'daemon',
+    'link',
+    'options',
+    'position',
+    'promoter',
+    'reply',
+    'roster',
+    'rowstore',
+    'statement',
+}
+ENTRY = {
+    'service': 'svc',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'version': 'v1',
+    'slots': 3,
+    'state': 'ready',
+    'cold_remaining_ms': 0,
+    'db_role': 'replica',
+    'seq': 4,
+}
+
+
+def _list_imports(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom):
+            yield node.module
+        elif isinstance(node, ast.Import):
+            yield from (name.name for name in node.names)
+
+
+@pytest.mark.parametrize(
+    'path',
+    sorted((PACKAGE / 'platform').glob('*.py')),
+    ids=lambda path: path.stem,
+)
+def test_the_adapter_imports_nothing_that_decides(path):
+    for module in _list_imports(path):
+        if module.startswith('catkincrank.gateway.'):
+            assert module.rpartition('.')[2] in TYPES
+
+
+def test_nothing_else_imports_the_adapter():
+    found = [
+        path.name
+        for path in PACKAGE.rglob('*.py')
+        if path.parent.name != 'platform'
+        and any(
+            name.startswith('catkincrank.platform')
+            for name in _list_imports(path)
+        )
+    ]
+    assert not found
+
+
+@pytest.mark.parametrize(
+    ('text', 'kind'),
+    [
+        (b'BEGIN', Kind.BEGIN),
+        (b'BEGIN READ', Kind.BEGIN_READ),
+        (b'BEGIN WRITE', Kind.UNREADABLE),
+        (b'COMMIT', Kind.COMMIT),
+        (b'ROLLBACK', Kind.ROLLBACK),
+        (b'READ k', Kind.READ),
+        (b'READ', Kind.UNREADABLE),
+        (b'READ k more', Kind.UNREADABLE),
+        (b'WRITE k some data', Kind.WRITE),
+        (b'WRITE k', Kind.UNREADABLE),
+        (b'SET name value', Kind.SET),
+        (b'PREPARE s READ q', Kind.PREPARE),
+        (b'PREPARE s DROP q', Kind.UNREADABLE),
+        (b'PREPARE s READ', Kind.UNREADABLE),
+        (b'EXECUTE s k', Kind.EXECUTE),
+        (b'EXECUTE s', Kind.UNREADABLE),
+        (b'CLOSE s', Kind.CLOSE),
+        (b'AFTER 1.2 READ k', Kind.UNREADABLE),
+        (b'STATUS', Kind.UNREADABLE),
+        (b'DEMOTE 4', Kind.UNREADABLE),
+        (b'', Kind.UNREADABLE),
+    ],
+)
+def test_statements(text, kind):
+    found = parse_statement(b'1', text)
+    assert found.kind is kind
+    assert found.text == text
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'service': None},
+        {'address': 'nowhere'},
+        {'address': '10.0.0.1:x'},
+        {'address': ':80'},
+        {'state': 'odd'},
+        {'db_role': 'witness'},
+        {'slots': 'three'},
+        {'born': 'monday'},
+        {'zone': 7},
+    ],
+    ids=str,
+)
+def test_unreadable_registrations_name_no_endpoint(changes):
+    body = msgspec.json.encode({**ENTRY, **changes})
+    assert decode_entry('i-1', body) is None
+
+
+@pytest.mark.parametrize('body', [b'', b'\xff\x00', b'[]', b'{}', b'null'])
+def test_registrations_that_are_no_object_name_no_endpoint(body):
+    assert decode_entry('i-1', body) is None
+
+
+@pytest.mark.parametrize(
+    ('changes', 'is_draining', 'claims_primary', 'born_ms'),
+    [
+        ({}, False, False, 0),
+        ({'state': 'draining'}, True, False, 0),
+        ({'db_role': 'primary', 'born': 1700}, False, True, 1700),
+        ({'unheard_of': 1}, False, False, 0),
+    ],
+)
+def test_registrations(changes, is_draining, claims_primary, born_ms):
+    found = decode_entry('i-1', msgspec.json.encode({**ENTRY, **changes}))
+    assert found == EndpointEntry(
+        'i-1',
+        'svc',
+        '10.0.0.1',
+        80,
+        'z',
+        3,
+        is_draining,
+        claims_primary,
+        born_ms,
+    )
+
+
+def _make_config(**changes):
+    route = {
+        'name': 'r',
+        'host': 'db',
+        'type': 'bounded_staleness',
+        'service': 'svc',
+        'timeout_ms': 800,
+        'target_latency_ms': 500,
+        'priority': 2,
+        'max_staleness_ms': 1500,
+        **changes,
+    }
+    return msgspec.json.encode(
+        {
+            'version': 7,
+            'routes': [route],
+            'services': [{'name': 'svc', 'max_connections': 23}],
+            'limits': {'tx_idle_ms': 2000},
+        },
+    )
+
+
+def test_a_configuration_is_decoded():
+    found = decode_catalog(_make_config())
+    route = found.routes['db']
+    assert (found.version, found.transaction_idle_s) == (7, 2)
+    assert route.consistency is Consistency.BOUNDED
+    assert (route.timeout_s, route.max_staleness_s) == (0.8, 1.5)
+    assert found.services['svc'].max_connections == 23
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'{}', b'[1', _make_config(type='eventual'), _make_config(host=3)],
+)
+def test_an_unreadable_configuration_is_an_error(body):
+    with pytest.raises(ValueError):
+        decode_catalog(body)
+
+
+def test_settings_are_checked(tmp_path):
+    path = tmp_path / 'boot.toml'
+    path.write_text('node = 3')
+    with pytest.raises(OptionError):
+        read_settings(str(path))
+    with pytest.raises(OptionError):
+        read_settings(str(tmp_path / 'missing.toml'))
+
+
+class Endpoint:
+    """Answers each request with the next of the given texts."""
+
+    def __init__(self, *answers):
+        self._answers = [b'READY I 1.1\r\n', *answers]
+        self.seen = b''
+
+    async def serve(self, stream):
+        async with stream:
+            for answer in self._answers:
+                self.seen += await stream.receive()
+                await stream.send(answer)
+
+
+async def _with_link(endpoint, act):
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, endpoint.serve)
+        entry = EndpointEntry('i-1', 'svc', '127.0.0.1', port, 'z', 1)
+        link = await LineDriver().connect(entry, 'vm')
+        try:
+            return await act(link)
+        finally:
+            await link.close()
+            tasks.cancel_scope.cancel()
+
+
+READ = Statement(Kind.READ, b'id1', b'READ k')
+
+
+@pytest.mark.parametrize(
+    ('answer', 'failure', 'rows'),
+    [
+        (b'ROW a b\r\nCOMPLETE s\r\nREADY I 3.12\r\n', None, (b'a b',)),
+        (b'COMPLETE s\r\nREADY I 3.12\r\n', None, ()),
+        (b'ERROR LAGGING x\r\nREADY I 3.12\r\n', Failure.LAGGING, ()),
+        (b'ERROR READONLY\r\nREADY E 3.12\r\n', Failure.READ_ONLY, ()),
+        (b'ERROR STRANGE x\r\nREADY I 3.12\r\n', Failure.FAILED, ()),
+    ],
+)
+def test_endpoint_answers(answer, failure, rows):
+    endpoint = Endpoint(answer)
+
+    async def act(link):
+        return await link.run(READ, Position(3, 11))
+
+    reply = anyio.run(_with_link, endpoint, act)
+    assert (reply.refusal and reply.refusal.failure) is failure
+    assert reply.rows == rows
+    assert reply.position == Position(3, 12)
+    assert endpoint.seen.endswith(b'QUERY id1 AFTER 3.11 READ k\r\n')
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'ROW a\r\nCOMPLETE s\r\n',
+        b'ROW a\r\n',
+        b'NOISE\r\n',
+        b'COMPLETE s\r\nREADY X 1.1\r\n',
+        b'COMPLETE s\r\nROW a\r\n',
+    ],
+)
+def test_cut_off_answers_may_have_run(answer):
+    async def act(link):
+        with pytest.raises(EndpointError) as caught:
+            await link.run(READ)
+        return caught.value.was_sent
+
+    assert anyio.run(_with_link, Endpoint(answer), act)
+
+
+def test_a_prepared_statement_gets_a_name_of_the_connection():
+    ok = b'COMPLETE -\r\nREADY I 1.1\r\n'
+    endpoint = Endpoint(ok + ok, b'COMPLETE s\r\nREADY I 1.1\r\n')
+    execute = Statement(Kind.EXECUTE, b'9', b'EXECUTE s k v', b's', b'k v')
+    shape = Prepared(True, b'q2')
+
+    async def act(link):
+        await link.configure({b'x': b'1'}, shape, is_reset=False)
+        await link.run(execute, None, link.prepared[shape])
+
+    anyio.run(_with_link, endpoint, act)
+    assert b'QUERY - SET x 1\r\nQUERY - PREPARE p0 WRITE q2\r\n' in (
+        endpoint.seen
+    )
+    assert endpoint.seen.endswith(b'QUERY 9 EXECUTE p0 k v\r\n')
+
+
+@pytest.mark.parametrize(
+    ('row', 'state'),
+    [
+        (
+            b'replica 3 3.1209 0 12 2 17',
+            EndpointState(False, 3, Position(3, 1209), 0),
+        ),
+        (b'primary 4 3.7 4 0 0 1', EndpointState(True, 4, Position(3, 7), 4)),
+        (b'witness 4 3.7 4 0 0 1', None),
+        (b'primary', None),
+    ],
+)
+def test_states(row, state):
+    endpoint = Endpoint(b'ROW %b\r\nCOMPLETE -\r\nREADY I 1.1\r\n' % row)
+
+    async def act(link):
+        return await link.fetch_state()
+
+    assert anyio.run(_with_link, endpoint, act) == state
+
+
+async def _with_server(routes, act):
+    server = HttpServer(routes)
+    async with anyio.create_task_group() as tasks:
+        port = await tasks.start(server.serve)
+        found = await act('127.0.0.1:{0}'.format(port))
+        tasks.cancel_scope.cancel()
+    return found
+
+
+def _respond(status, body=b'{}'):
+    async def answer(_request):
+        return HttpResponse(body, status)
+
+    return answer
+
+
+ROW = msgspec.json.encode(
+    {
+        'rows': [
+            {
+                'table': 't',
+                'part': '',
+                'key': 'k',
+                'value': base64.b64encode(b'v').decode(),
+                'ver': 4,
+            },
+            {'table': 't', 'part': '', 'key': 'g', 'ver': 5, 'removed': True},
+        ],
+        'truncated': False,
+        'ver': 6,
+        'now_ms': 1,
+    },
+)
+
+
+def test_rows_are_decoded():
+    async def act(address):
+        return await PlatformStore(address).follow('t', 3, 0)
+
+    found = anyio.run(
+        _with_server, {'GET /v1/rows-feed': _respond(200, ROW)}, act
+    )
+    assert found.version == 6
+    assert [(row.key, row.body) for row in found.rows] == [
+        ('k', b'v'),
+        ('g', None),
+    ]
+
+
+@pytest.mark.parametrize(
+    ('status', 'body', 'error', 'may_have_applied'),
+    [
+        (412, b'{}', ConflictError, None),
+        (503, b'', StoreUnavailableError, False),
+        (429, b'', StoreUnavailableError, False),
+        (500, b'', StoreUnavailableError, True),
+        (200, b'nonsense', StoreUnavailableError, True),
+    ],
+)
+def test_writes_say_whether_they_may_have_applied(
+    status, body, error, may_have_applied
+):
+    async def act(address):
+        with pytest.raises(error) as caught:
+            await PlatformStore(address).write(
+                't', [Condition('k', 0)], {'k': b'v'}
+            )
+        return getattr(caught.value, 'may_have_applied', None)
+
+    routes = {'POST /v1/rows-tx': _respond(status, body)}
+    assert anyio.run(_with_server, routes, act) is may_have_applied
+
+
+def test_a_lost_history_is_told():
+    async def act(address):
+        with pytest.raises(HistoryLostError):
+            await PlatformStore(address).follow('t', 3, 0)
+
+    anyio.run(_with_server, {'GET /v1/rows-feed': _respond(410)}, act)
+
+
+@pytest.mark.parametrize(
+    ('status', 'is_refused'),
+    [(409, True), (503, False), (429, False)],
+)
+def test_promotions_that_fail(status, is_refused):
+    async def act(address):
+        with pytest.raises(PromotionError) as caught:
+            await PlatformPromoter(address, 'vm').promote('svc', 'i-1', 7)
+        return caught.value
+
+    error = anyio.run(_with_server, {'POST /promote': _respond(status)}, act)
+    assert error.is_refused is is_refused
+    assert not error.may_have_applied
+
+
+@pytest.mark.parametrize('failure', list(Failure))
+def test_each_failure_has_a_verdict(failure):
+    uncertain = {Failure.IN_DOUBT, Failure.TIMED_OUT, Failure.FAILED}
+    expected = failure not in uncertain
+    assert (failure.verdict is Verdict.NOT_RUN) is expected
