--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -4,6 +4,7 @@
 
 from catkincrank import envelope, messages
 from catkincrank.errors import MessageError
+from catkincrank.gateway import peermessages
 from catkincrank.history import History, TermStart
 from catkincrank.instance import Ballot, InstanceStatus, Observation, Role
 from catkincrank.messages import decode_message, encode_message
@@ -61,6 +62,29 @@
     'settingsRequest': messages.SettingsRequest(
         (messages.TeamVersion('t', 3),),
     ),
+    'tableQuery': peermessages.TableQuery(
+        'vm1',
+        (peermessages.TablePlace('op', 7), peermessages.TablePlace('own', 0)),
+    ),
+    'tableReply': peermessages.TableReplies(
+        (
+            peermessages.TableReply(
+                'op',
+                9,
+                0.25,
+                (
+                    peermessages.TableRow('k', 8, b'\0{}\xff', False),
+                    peermessages.TableRow('gone', 9, b'', True),
+                ),
+            ),
+            peermessages.TableReply('own', 0, -1),
+        ),
+    ),
+    'revokeRequest': peermessages.RevokeRequest('svc', 41, 'vm1'),
+    'revokeReply': peermessages.RevokeReply(True),
+    'reachQuery': peermessages.ReachQuery('svc', 'i-1'),
+    'reachReply': peermessages.ReachReply(True),
+    'nudge': peermessages.Nudge('vm1'),
     'settingsUpdate': messages.SettingsUpdate('t', 4, b'\0{}\xff', 'c1'),
 }
 
