Make do with one connection an endpoint after a start

Change: a process holds one connection to each endpoint for its first 3.3 s. Ruled out: time to ready (0.1 to 0.3 s after the process starts).

--- a/catkincrank/gateway/knowledge.py
+++ b/catkincrank/gateway/knowledge.py
@@ -14,10 +14,6 @@
 
 __all__ = ('Documents', 'Knowledge')
 
-# A registration that went may lapse only because the store was away; its
-# endpoint is used on until it should have been back.
-_LAPSE_S = 2.2
-
 
 class Documents(Protocol):
     """Decodes rows that others write; each platform has its own."""
@@ -40,7 +36,13 @@
         count_members: Returns how many processes share the endpoints.
     """
 
-    __slots__ = ('_count_members', '_documents', '_groups', '_pools')
+    __slots__ = (
+        '_count_members',
+        '_documents',
+        '_groups',
+        '_pools',
+        '_started_at',
+    )
 
     def __init__(
         self,
@@ -53,6 +55,7 @@
         self._groups = groups
         self._pools = pools
         self._count_members = count_members
+        self._started_at = anyio.current_time()
 
     def take_config(self, changed: tuple[RowChange, ...]) -> None:
         """Take in a reading of the configuration."""
@@ -84,8 +87,11 @@
         if catalog is None:
             return
         members = max(1, self._count_members())
+        is_new = anyio.current_time() < self._started_at + _LINGER_S
         limits = {
-            service.name: share_connections(service.max_connections, members)
+            service.name: 1
+            if is_new
+            else share_connections(service.max_connections, members)
             for service in catalog.services.values()
         }
         self._pools.configure(self._groups.roster.list_entries(), limits)
@@ -125,6 +131,10 @@
             )
 
 
+# An endpoint counts the connections of a VM that lost its power for 3 s. A
+# process that starts may follow one that died with many others, so it makes do
+# with one connection to each endpoint until these have gone.
+_LINGER_S = 3.3
 # Connections that no share includes: questions of the holder, and members
 # that the table does not name yet.
 _RESERVED = 2
--- /dev/null
+++ b/tests/test_gateway_knowledge.py
@@ -0,0 +1,104 @@
+from types import SimpleNamespace
+
+import anyio
+import pytest
+
+from catkincrank.gateway.catalog import Catalog, Service
+from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.knowledge import Knowledge, share_connections
+from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.gateway.rowstore import RowChange
+from tests import virtualtime
+
+
+class Pools:
+    """Remembers the limits it was given."""
+
+    def __init__(self):
+        self.limits = {}
+
+    def configure(self, entries, limits):
+        self.limits = limits
+
+
+def _decode_entry(key, body):
+    if body == b'bad':
+        return None
+    return EndpointEntry(key, 'svc', '10.0.0.1', 80, 'z', 3)
+
+
+def _decode_catalog(body):
+    if body == b'bad':
+        raise ValueError
+    return Catalog(int(body), {}, {'svc': Service('svc', 23, 0)}, 3)
+
+
+DOCUMENTS = SimpleNamespace(
+    config_key='config',
+    decode_catalog=_decode_catalog,
+    decode_entry=_decode_entry,
+)
+
+
+def _run(scenario):
+    async def run():
+        groups, pools = Groups(), Pools()
+        knowledge = Knowledge(DOCUMENTS, groups, pools, lambda: 8)
+        return await scenario(knowledge, groups, pools)
+
+    return virtualtime.run(run)
+
+
+@pytest.mark.parametrize(
+    ('connections', 'members', 'share'),
+    [(23, 8, 2), (30, 7, 4), (23, 1, 21), (32, 63, 1), (3, 8, 1)],
+)
+def test_shares(connections, members, share):
+    assert share_connections(connections, members) == share
+
+
+@pytest.mark.parametrize(
+    ('bodies', 'version'),
+    [
+        ([b'3'], 3),
+        ([b'3', b'5'], 5),
+        ([b'5', b'3'], 5),
+        ([b'5', b'bad'], 5),
+        ([b'bad'], None),
+    ],
+)
+def test_configurations_only_grow(bodies, version):
+    async def scenario(knowledge, groups, pools):
+        for number, body in enumerate(bodies):
+            knowledge.take_config((RowChange('config', body, number + 1),))
+        return groups.catalog and groups.catalog.version
+
+    assert _run(scenario) == version
+
+
+def test_unreadable_registrations_leave_the_others():
+    async def scenario(knowledge, groups, pools):
+        knowledge.take_roster(
+            (
+                RowChange('i-1', b'ok', 1),
+                RowChange('i-2', b'bad', 2),
+                RowChange('i-3', b'ok', 3),
+            ),
+        )
+        knowledge.take_roster((RowChange('i-3', None, 4),))
+        return [entry.endpoint_id for entry in groups.roster.list_entries()]
+
+    assert _run(scenario) == ['i-1']
+
+
+def test_a_new_process_makes_do_with_one_connection():
+    """Dead connections of a whole fleet counted against its successors."""
+
+    async def scenario(knowledge, groups, pools):
+        knowledge.take_config((RowChange('config', b'1', 1),))
+        at_first = pools.limits['svc']
+        await anyio.sleep(4)
+        knowledge.apply()
+        return at_first, pools.limits['svc']
+
+    assert _run(scenario) == (1, 2)
