--- a/catkincrank/platform/callers.py
+++ b/catkincrank/platform/callers.py
@@ -11,6 +11,7 @@
     Terminate,
     caller_codecs,
 )
+from catkincrank.gateway.position import Position
 from catkincrank.gateway.reply import Failure, Refusal, Reply, refuse
 from catkincrank.gateway.statement import Kind, Prepared, Statement
 from catkincrank.platform.lines import LineReader
@@ -77,14 +78,25 @@
         refusal = refuse(failure, TransactionStatus.IDLE).refusal
         await self._stream.send(_encode_refusal(refusal))
 
-    async def send(self, reply: Reply) -> None:
-        """Send the whole reply to one request."""
+    async def send(
+        self,
+        reply: Reply,
+        position: Position | None = None,
+    ) -> None:
+        """Send the whole reply to one request.
+
+        Args:
+            reply: The reply.
+            position: Position to tell; callers have no use for one.
+        """
         lines = [b'ROW %b\r\n' % row for row in reply.rows]
         if reply.refusal is None:
             lines.append(b'COMPLETE %b\r\n' % (reply.signature or b'-'))
         else:
             lines.append(_encode_refusal(reply.refusal))
-        lines.append(b'READY %b -\r\n' % reply.status.value.encode('ascii'))
+        place = '-' if position is None else str(position)
+        ready = 'READY {0} {1}\r\n'.format(reply.status.value, place)
+        lines.append(ready.encode('ascii'))
         await self._stream.send(b''.join(lines))
 
 
--- a/catkincrank/platform/program.py
+++ b/catkincrank/platform/program.py
@@ -9,16 +9,16 @@
 from catkincrank.platform import callers, documents, endpoints, promotion, store
 from catkincrank.platform.settings import SETTINGS_VARIABLE, read_settings
 
-__all__ = ('GatewayFlags', 'run')
+__all__ = ('ADAPTER', 'DOCUMENTS', 'GatewayFlags', 'run')
 
 VARIANTS = (callers, endpoints, promotion, store)
-_ADAPTER = SimpleNamespace(
+ADAPTER = SimpleNamespace(
     callers='lines',
     endpoints='lines',
     promoter='platform',
     store='platform',
 )
-_DOCUMENTS = SimpleNamespace(
+DOCUMENTS = SimpleNamespace(
     config_table=documents.CONFIG_TABLE,
     config_key=documents.CONFIG_KEY,
     roster_table=documents.ROSTER_TABLE,
@@ -44,4 +44,4 @@
 async def run(flags: GatewayFlags) -> None:
     """Run a gateway until it is told to stop."""
     path = flags.settings or os.environ.get(SETTINGS_VARIABLE, '')
-    await run_gateway(read_settings(path), _ADAPTER, _DOCUMENTS)
+    await run_gateway(read_settings(path), ADAPTER, DOCUMENTS)
--- a/catkincrank/programs.py
+++ b/catkincrank/programs.py
@@ -51,6 +51,11 @@
         is_suspend_aware=True,
         needs_variants=False,
     ),
+    'gateway-trial': Program(
+        'catkincrank.platform.trial',
+        'TrialFlags',
+        needs_variants=False,
+    ),
 }
 
 
--- a/catkincrank/standins/linelink.py
+++ b/catkincrank/standins/linelink.py
@@ -33,14 +33,26 @@
         text: The statement.
         values: Session values on the connection.
         is_in_transaction: Whether a transaction was open.
+        request_id: Identifier of the request.
+        was_primary: Whether the endpoint led when it ran.
     """
 
-    __slots__ = ('endpoint_id', 'is_in_transaction', 'link', 'text', 'values')
-
-    def __init__(self, link: 'MemoryLink', text: bytes) -> None:
+    __slots__ = (
+        'endpoint_id',
+        'is_in_transaction',
+        'link',
+        'request_id',
+        'text',
+        'values',
+        'was_primary',
+    )
+
+    def __init__(self, link: 'MemoryLink', statement: Statement) -> None:
         self.endpoint_id = link.instance.endpoint_id
         self.link = link
-        self.text = text
+        self.text = statement.text
+        self.request_id = statement.request_id
+        self.was_primary = link.instance.is_primary
         self.values = dict(link.set_values)
         self.is_in_transaction = link.status is TransactionStatus.OPEN
 
@@ -88,7 +100,7 @@
         if failure is not None:
             return self._refuse(failure)
         self.instance.ran.append(statement.request_id)
-        self._runs.append(Run(self, statement.text))
+        self._runs.append(Run(self, statement))
         self._apply(statement, alias)
         if self.instance.lost_answers:
             self.instance.lost_answers -= 1
