Tell from log files what led to a failed request

Change: catkincrank explain REQUEST-ID FILE... puts the lines of several processes together: those of the request, those about its group in all processes in the 8 s before, and those of its own process. Refusals name the endpoint, the tries and for how long no primary was granted.

--- a/catkincrank/commands/explain.py
+++ b/catkincrank/commands/explain.py
@@ -1,5 +1,6 @@
-"""Command ``explain``: the events of a group's last failover."""
+"""Command ``explain``: what led to a failover, or to a failed request."""
 
+import itertools
 import time
 from typing import Annotated
 
@@ -13,15 +14,48 @@
     describe_event,
     find_last_failover,
 )
+from catkincrank.story import describe_line, find_story, read_lines
 
 __all__ = ('explain_failover',)
 
+_STAMP = '%Y-%m-%d %H:%M:%S'
+
 
 def explain_failover(
-    group: Annotated[str, typer.Argument(help='The group, TEAM/SERVICE.')],
-    admin: AdminList,
+    subject: Annotated[
+        str,
+        typer.Argument(help='A group, or the identifier of a request.'),
+    ],
+    files: Annotated[
+        list[typer.FileText] | None,
+        typer.Argument(help='Log files of processes; - for standard input.'),
+    ] = None,
+    admin: AdminList = '',
 ) -> None:
-    """Print what each process did in the last failover, in order."""
+    """Print what each process did in a failover, or around a request.
+
+    With log files, the events are taken from them; without, the processes
+    named by ``--admin`` are asked for a group's last failover.
+    """
+    if files:
+        _tell_story(subject, files)
+    else:
+        _tell_failover(subject, admin)
+
+
+def _tell_story(subject: str, files: list[typer.FileText]) -> None:
+    story = find_story(read_lines(itertools.chain(*files)), subject)
+    if not story:
+        typer.echo('no line is about {0}'.format(subject))
+        return
+    began = story[0].at
+    stamp = time.strftime(_STAMP, time.gmtime(began))
+    typer.echo('{0}: began {1} UTC'.format(subject, stamp))
+    for line in story:
+        typer.echo(describe_line(line, began))
+
+
+def _tell_failover(group: str, admin: str) -> None:
     states = anyio.run(fetch_states, parse_addresses(admin))
     for state in states:
         if state.error:
@@ -31,7 +65,7 @@
         typer.echo('no failover of {0} is on record'.format(group))
         return
     began = failover[0].at
-    stamp = time.strftime('%Y-%m-%d %H:%M:%S', time.gmtime(began))
+    stamp = time.strftime(_STAMP, time.gmtime(began))
     typer.echo('{0}: began {1} UTC'.format(group, stamp))
     for event in failover:
         typer.echo(describe_event(event, began))
--- a/catkincrank/gateway/execution.py
+++ b/catkincrank/gateway/execution.py
@@ -123,12 +123,13 @@
         Raises:
             StatementFailed: It may have run, or its time is over.
         """
+        cause = '{0}: {1}'.format(choice.entry.endpoint_id, error)
         if need.is_write and error.was_sent:
-            raise StatementFailed(Failure.IN_DOUBT, str(error))
+            raise StatementFailed(Failure.IN_DOUBT, cause)
         if anyio.current_time() >= need.deadline:
             raise StatementFailed(
                 Failure.TIMED_OUT if error.was_sent else Failure.OVERLOADED,
-                str(error),
+                cause,
             )
         need.exclude(choice.entry.endpoint_id, Failure.OVERLOADED)
 
--- a/catkincrank/gateway/front.py
+++ b/catkincrank/gateway/front.py
@@ -197,7 +197,9 @@
         except StatementFailed as error:
             reply = error.as_reply(session.status)
         took_s = anyio.current_time() - started
-        self._log.note(session, statement, reply, took_s)
+        route = self._find_route(session.database)
+        service = '' if route is None else route.service
+        self._log.note(session, statement, reply, took_s, service)
         return reply
 
     async def _run(self, session: Session, statement: Statement) -> Reply:
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -135,7 +135,7 @@
             except RequestError as error:
                 raise StatementFailed(
                     Failure.OVERLOADED,
-                    str(error),
+                    '{0}: {1}'.format(choice.entry.endpoint_id, error),
                 ) from None
             return choice, borrowed
 
@@ -166,7 +166,8 @@
         delay = OPENING_BACKOFF.delay(need.tries, self._source)
         resume_at = anyio.current_time() + delay
         if resume_at >= need.deadline:
-            raise StatementFailed(need.refused)
+            detail = self._explain(need, anyio.current_time())
+            raise StatementFailed(need.refused, detail)
         await self._groups.wait(resume_at)
 
     async def _await_choice(self, need: Need) -> Choice:
@@ -176,10 +177,25 @@
             if choice is not None:
                 return choice
             if now >= need.deadline or self._is_hopeless(need, now):
-                raise StatementFailed(need.refused)
+                raise StatementFailed(need.refused, self._explain(need, now))
             need.excluded.clear()
             await self._groups.wait(min(need.deadline, now + _LOOK_S))
 
+    def _explain(self, need: Need, now: float) -> str:
+        """Return why no endpoint could run a statement, and the evidence."""
+        evidence = self._groups.evidence(need.route.service)
+        tried = 'last refusal: {0}; {1} tries in {2:.2f} s'.format(
+            need.refused.value,
+            need.tries,
+            now - need.arrived_at,
+        )
+        if need.needs_primary and evidence.find_grant(now) is None:
+            return 'no primary was granted for {0:.1f} s; {1}'.format(
+                evidence.missing_s(now),
+                tried,
+            )
+        return tried
+
     def _is_hopeless(self, need: Need, now: float) -> bool:
         """Return whether a primary has been missing for too long to wait."""
         evidence = self._groups.evidence(need.route.service)
--- a/catkincrank/gateway/requestlog.py
+++ b/catkincrank/gateway/requestlog.py
@@ -85,12 +85,13 @@
             ('kind',),
         )
 
-    def note(
+    def note(  # noqa: WPS211
         self,
         session: Session,
         statement: Statement,
         reply: Reply,
         took_s: float,
+        service: str,
     ) -> None:
         """Note the answer to a statement; failures get a log line."""
         kind = statement.kind.value
@@ -104,6 +105,7 @@
             'request_refused',
             request=statement.request_id.decode('ascii', 'replace'),
             database=session.database,
+            service=service,
             kind=kind,
             outcome=outcome,
             verdict=failure.verdict.value,
--- /dev/null
+++ b/tests/test_story.py
@@ -0,0 +1,69 @@
+import json
+
+import pytest
+
+from catkincrank.commands.application import run_application
+from catkincrank.story import find_story, read_lines
+
+
+def _line(second, source, event, **fields):
+    return json.dumps(
+        {
+            'time': '2026-04-20T21:54:{0:09.6f}+00:00'.format(second),
+            'level': 'INFO',
+            'event': event,
+            'source': source,
+            **fields,
+        },
+    )
+
+
+LINES = [
+    _line(1, 'vm-1', 'replacement_started', service='a'),
+    _line(20, 'vm-1', 'replacement_started', service='a'),
+    _line(20.1, 'vm-1', 'replacement_started', service='b'),
+    _line(20.2, 'vm-2', 'store_lost', table='op'),
+    _line(20.3, 'vm-3', 'store_lost', table='op'),
+    _line(20.4, 'vm-2', 'request_refused', request='r1', service='a'),
+    _line(20.5, 'vm-2', 'request_refused', request='r2', service='a'),
+    _line(30, 'vm-1', 'replacement_finished', service='a'),
+]
+
+
+@pytest.mark.parametrize(
+    ('subject', 'expected'),
+    [
+        ('r1', [1, 3, 5]),
+        ('r2', [1, 3, 6]),
+        ('a', [0, 1, 5, 6, 7]),
+        ('b', [2]),
+        ('nothing', []),
+    ],
+)
+def test_stories(subject, expected):
+    everything = list(read_lines(LINES))
+    found = find_story(reversed(everything), subject)
+    assert found == [everything[index] for index in expected]
+
+
+@pytest.mark.parametrize(
+    ('text', 'count'),
+    [
+        ('', 0),
+        ('no line', 0),
+        ('{"half": ', 0),
+        ('{"time": "never", "event": "x", "source": "y"}', 0),
+        ('  12.5 vm-1 {0}'.format(LINES[0]), 1),
+    ],
+)
+def test_lines_that_cannot_be_read_are_passed_over(text, count):
+    assert len(list(read_lines([text]))) == count
+
+
+def test_the_command_tells_a_story(tmp_path, capsys):
+    path = tmp_path / 'log'
+    path.write_text('\n'.join(LINES))
+    assert run_application(['explain', 'r1', str(path)]) == 0
+    shown = capsys.readouterr().out
+    assert 'store_lost' in shown
+    assert 'vm-3' not in shown
