Mark a group again before another successor is promoted

The write that named a successor got no answer; the successor was silent for a moment, another one was promoted; then the first write was done by the store, and gateways wrote to the replaced primary. The group's row had not changed in between, so the late write's condition still held. Ruled out: the fence (all members had answered), the promotion's token. Change: an interrupted replacement writes its mark anew, which breaks the condition of any write still under way. Also: a row is looked for beside a write without an answer, and each call to the store has its own connection.

--- a/catkincrank/gateway/succession.py
+++ b/catkincrank/gateway/succession.py
@@ -3,6 +3,7 @@
 from typing import final
 
 import anyio
+from anyio.abc import TaskGroup
 
 from catkincrank.errors import ConflictError, StoreUnavailableError
 from catkincrank.gateway.fleetrecords import (
@@ -35,6 +36,9 @@
 _LEAD_LIMIT_S = 3.0
 _LEAD_STEP_S = 0.04
 _RETRY_PAUSE_S = 0.15
+# A write that has no answer by now may have lost it: a tenth of a second is
+# what the store takes ten times over.
+_LOOK_S = 0.1
 
 
 @final
@@ -137,9 +141,11 @@
         )
 
     async def _mark(self, version: int, record: GroupRecord) -> int:
-        """Mark the group in the store; return the version, 0 on failure."""
-        if record.is_replacing:
-            return version
+        """Mark the group in the store; return the version, 0 on failure.
+
+        A group that is marked already is marked again: a write that named a
+        successor, and got no answer, may be done yet, unless the row changes.
+        """
         return await self._write(record.replace(), version)
 
     async def _fence(self, record: GroupRecord, marked: int) -> None:
@@ -290,13 +296,29 @@
 
     async def _write(self, record: GroupRecord, version: int) -> int:
         """Write a group's row as the holder; return the store's version."""
-        key = group_key(record.service)
         conditions = [
             Condition(HOLDER_KEY, self._tenure.token),
-            Condition(key, version),
+            Condition(group_key(record.service), version),
         ]
+        written = 0
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._look_for, record, version, tasks)
+            written = await self._try_write(record, conditions)
+            tasks.cancel_scope.cancel()
+        await self._reload()
+        found_version, found = self._find_record(record.service)
+        if found == record and found_version > version:
+            return found_version
+        return written
+
+    async def _try_write(
+        self,
+        record: GroupRecord,
+        conditions: list[Condition],
+    ) -> int:
+        key = group_key(record.service)
         try:
-            written = await self._store.write(
+            return await self._store.write(
                 FLEET_TABLE,
                 conditions,
                 {key: encode_record(record)},
@@ -308,12 +330,34 @@
                 service=record.service,
                 cause=str(error),
             )
-            written = 0
+        return 0
+
+    async def _look_for(
+        self,
+        record: GroupRecord,
+        version: int,
+        tasks: TaskGroup,
+    ) -> None:
+        """End the wait for a write once the row is there.
+
+        The answer to a write may be lost; reading the row is sooner than the
+        time limit of the call.
+        """
+        while True:
+            await anyio.sleep(_LOOK_S)
+            await self._reload()
+            found_version, found = self._find_record(record.service)
+            if found == record and found_version > version:
+                tasks.cancel_scope.cancel()
+
+    def _find_record(self, service: str) -> tuple[int, GroupRecord | None]:
+        return self._ledger.records.get(service, (0, None))
+
+    async def _reload(self) -> None:
         try:
             await self._ledger.copy.reload()
         except StoreUnavailableError as error:
             log_event('record_unread', 'WARNING', cause=str(error))
-        return written
 
 
 def _leads(state: EndpointState, record: GroupRecord) -> bool:
--- a/catkincrank/platform/store.py
+++ b/catkincrank/platform/store.py
@@ -59,7 +59,7 @@
 
     def __init__(self, address: str) -> None:
         self._url = 'http://{0}'.format(address)
-        self._calls = self._make_client(_CALL_TIMEOUT_S)
+        self._idle: list[HttpClient] = []
         self._feeds: dict[str, HttpClient] = {}
 
     async def read_table(self, table: str) -> Changes:
@@ -74,8 +74,7 @@
                 'from': start,
                 'limit': _PAGE_ROWS,
             }
-            answer = await self._ask(
-                self._calls,
+            answer = await self._call(
                 'GET',
                 '/v1/rows-get?{0}'.format(urlencode(query)),
             )
@@ -133,7 +132,7 @@
                 'remove': [_name_row(table, key) for key in removed],
             },
         )
-        answer = await self._ask(self._calls, 'POST', '/v1/rows-tx', body)
+        answer = await self._call('POST', '/v1/rows-tx', body)
         if answer.status == _CONFLICT:
             first = conditions[0] if conditions else Condition('', 0)
             raise ConflictError(first.key, first.version, -1)
@@ -141,12 +140,29 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        for client in (self._calls, *self._feeds.values()):
+        for client in (*self._idle, *self._feeds.values()):
             await client.close()  # noqa: WPS476
 
     def _make_client(self, timeout_s: float) -> HttpClient:
         return HttpClient(self._url, timeout_s)
 
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b'',
+    ) -> HttpAnswer:
+        """Make a call on a connection of its own.
+
+        A call whose answer is lost would hold up the next on its connection.
+        """
+        client = self._make_client(_CALL_TIMEOUT_S)
+        if self._idle:
+            client = self._idle.pop()
+        answer = await self._ask(client, method, target, body)
+        self._idle.append(client)
+        return answer
+
     async def _ask(
         self,
         client: HttpClient,
--- a/catkincrank/standins/memoryrows.py
+++ b/catkincrank/standins/memoryrows.py
@@ -1,6 +1,8 @@
 """Stand-in for the platform's table service, without a network."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from contextlib import suppress
+from functools import partial
 from typing import final
 
 import anyio
@@ -30,6 +32,9 @@
         lost_answers: How many writes take effect without an answer.
         horizon: Versions up to this one have no history any more.
         calls: Calls so far.
+        is_late: Tells which writes are done ``late_s`` later, without an
+            answer, if their conditions still hold.
+        late_s: How much later, in seconds.
     """
 
     def __init__(self) -> None:
@@ -39,6 +44,9 @@
         self.lost_answers = 0
         self.horizon = 0
         self.calls = 0
+        self.is_late: Callable[[Mapping[str, bytes | None]], bool] = _never
+        self.late_s: float = 0
+        self.late: list[tuple[float, Callable[[], object]]] = []
         self.rows: dict[tuple[str, str], RowChange] = {}
         self.changed = anyio.Event()
 
@@ -63,6 +71,26 @@
         changed.set()
         return self.version
 
+    def postpone(
+        self,
+        table: str,
+        conditions: Sequence[Condition],
+        bodies: Mapping[str, bytes | None],
+    ) -> None:
+        """Keep a write that is done late."""
+        due_at = anyio.current_time() + self.late_s
+        write = partial(self.write, table, conditions, bodies)
+        self.late.append((due_at, write))
+
+    def do_late_writes(self) -> None:
+        """Do the writes that are due, if their conditions hold."""
+        now = anyio.current_time()
+        due = [write for due_at, write in self.late if due_at <= now]
+        self.late = [one for one in self.late if one[0] > now]
+        for write in due:
+            with suppress(ConflictError):
+                write()
+
     def list_rows(self, table: str, after: int = -1) -> tuple[RowChange, ...]:
         """Return the rows of a table that changed after a version."""
         found = [
@@ -115,11 +143,11 @@
     ) -> int:
         """Write rows together, if the conditions hold."""
         await self._admit()
-        written = self._shared.write(
-            table,
-            conditions,
-            {**bodies, **dict.fromkeys(removed)},
-        )
+        rows = {**bodies, **dict.fromkeys(removed)}
+        if self._shared.is_late(rows):
+            self._shared.postpone(table, conditions, rows)
+            raise StoreUnavailableError('no answer', may_have_applied=True)
+        written = self._shared.write(table, conditions, rows)
         if self._shared.lost_answers:
             self._shared.lost_answers -= 1
             raise StoreUnavailableError('answer lost', may_have_applied=True)
@@ -131,6 +159,7 @@
     async def _admit(self) -> None:
         self._shared.calls += 1
         await anyio.sleep(_ANSWER_S)
+        self._shared.do_late_writes()
         self._check()
 
     def _check(self) -> None:
@@ -138,5 +167,9 @@
             raise StoreUnavailableError('status 503', may_have_applied=False)
 
 
+def _never(_bodies: Mapping[str, bytes | None]) -> bool:
+    return False
+
+
 def _version_of(row: RowChange) -> int:
     return row.version
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -138,6 +138,8 @@
         self.cut = set()
         self.nodes = {}
         self.conflicts = []
+        # Moments at which a primary is granted that was replaced already.
+        self.stale = []
         self._tasks = tasks
         self._scopes = {}
         self._starts = 0
@@ -181,6 +183,8 @@
             granted = set(self.granted.values()) - {None}
             if len(granted) > 1:
                 self.conflicts.append((anyio.current_time(), self.granted))
+            if granted - {self.group.leader.endpoint_id}:
+                self.stale.append((anyio.current_time(), self.granted))
             await anyio.sleep(0.01)
 
     async def _run(self, node, scope):
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -36,6 +36,7 @@
     for one, two in itertools.pairwise(fleet.promotions):
         assert one.token <= two.token
     assert not fleet.conflicts
+    assert not fleet.stale
 
 
 def test_nothing_is_promoted_while_all_is_well():
@@ -233,3 +234,35 @@
         assert await fleet.settle('a') < 1
 
     assert not _run(scenario).promotions
+
+
+@pytest.mark.parametrize('late_s', [0.2 * step for step in range(1, 16)])
+def test_a_late_write_does_not_bring_a_replaced_primary_back(late_s):
+    """Found by deploy/days/late-answers.toml on kitakaze-jetfuel: ONE.
+
+    The write that named the successor got no answer; the successor fell
+    silent, another one was promoted, and then the write was done.
+    """
+
+    async def scenario(fleet):
+        rows = fleet.rows
+        rows.late_s = late_s
+        seen = []
+
+        def is_late(bodies):
+            named = any(
+                body and b'"primary":"a"' not in body and b'"term"' in body
+                for body in bodies.values()
+            )
+            if named and not seen:
+                seen.append(anyio.current_time())
+                fleet.group.leader.is_up = False
+                return True
+            return False
+
+        rows.is_late = is_late
+        fleet.group.instances['a'].is_up = False
+        await anyio.sleep(20)
+        assert seen
+
+    _check_promotions(_run(scenario))
