--- a/catkincrank/gateway/assembly.py
+++ b/catkincrank/gateway/assembly.py
@@ -130,7 +130,7 @@
     placement = Placement(groups, pools, latencies)
     return Front(
         groups,
-        Execution(groups, placement, passer),
+        Execution(groups, placement, passer, metrics),
         Transactions(groups, placement, passer),
         RequestLog(metrics, LineBudget()),
         caller_codecs.find(adapter.callers),
--- a/catkincrank/gateway/execution.py
+++ b/catkincrank/gateway/execution.py
@@ -14,6 +14,7 @@
 from catkincrank.gateway.reply import Failure, Reply, StatementFailed
 from catkincrank.gateway.session import Session
 from catkincrank.gateway.statement import Statement
+from catkincrank.metrics import Metrics
 
 __all__ = ('Execution',)
 
@@ -26,19 +27,31 @@
         groups: Evidence about the groups.
         placement: Finds endpoints.
         passer: Passes statements on.
+        metrics: Metrics of the process.
     """
 
-    __slots__ = ('_groups', '_passer', '_placement')
+    __slots__ = ('_groups', '_passer', '_placement', '_reads', '_tries')
 
     def __init__(
         self,
         groups: Groups,
         placement: Placement,
         passer: Passer,
+        metrics: Metrics,
     ) -> None:
         self._groups = groups
         self._placement = placement
         self._passer = passer
+        self._reads = metrics.counter(
+            'reads',
+            'Single reads served, by where they ran and what they may miss.',
+            ('place', 'consistency'),
+        )
+        self._tries = metrics.counter(
+            'refused_tries',
+            'Tries of single statements that were refused or unanswered.',
+            ('failure',),
+        )
 
     async def run(
         self,
@@ -66,6 +79,7 @@
                     session, statement, need, choice, borrowed
                 )
             except EndpointError as error:
+                self._tries.labels('unanswered').inc()
                 self._judge(need, choice, error)
                 await self._placement.pause(need)
                 continue
@@ -73,6 +87,7 @@
                 return self._accept(session, need, choice, reply)
             if not self._placement.may_move(reply.refusal.failure):
                 return reply
+            self._tries.labels(reply.refusal.failure.name.lower()).inc()
             need.exclude(choice.entry.endpoint_id, reply.refusal.failure)
             await self._placement.pause(need)
 
@@ -97,6 +112,15 @@
             return reply
         raise EndpointError('no answer in time', was_sent=was_sent)
 
+    def _count_read(self, need: Need, choice: Choice) -> None:
+        grant = self._groups.evidence(need.route.service).grant
+        is_primary = (
+            grant is not None and grant.endpoint_id == choice.entry.endpoint_id
+        )
+        place = 'primary' if is_primary else 'replica'
+        consistency = need.route.consistency.name.lower()
+        self._reads.labels(place, consistency).inc()
+
     async def _adopt(
         self,
         session: Session,
@@ -146,6 +170,7 @@
             StatementFailed: The primary may have been replaced meanwhile.
         """
         if not need.is_write:
+            self._count_read(need, choice)
             return reply
         evidence = self._groups.evidence(need.route.service)
         if not evidence.holds(choice.term, anyio.current_time()):
--- a/catkincrank/gateway/statusserver.py
+++ b/catkincrank/gateway/statusserver.py
@@ -1,11 +1,13 @@
 """Answers the balancer, and serves metrics and the state dump."""
 
 import dataclasses
+from functools import partial
 from typing import TYPE_CHECKING, Any, final
 
 import anyio
 import msgspec
 
+from catkincrank.gateway.tablecopy import TableCopy
 from catkincrank.httpserver import HttpRequest, HttpResponse, HttpServer
 from catkincrank.metrics import CONTENT_TYPE
 
@@ -29,6 +31,7 @@
 
     def __init__(self, gateway: 'Gateway') -> None:
         self._gateway = gateway
+        self._watch()
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -49,6 +52,34 @@
                 options.metrics.port,
             )
 
+    def _watch(self) -> None:
+        """Add the gauges of what the process knows."""
+        gateway = self._gateway
+        watch = gateway.metrics.watch
+        watch(
+            'callers',
+            'Connections of callers.',
+            lambda: len(gateway.front.callers),
+        )
+        watch(
+            'configuration_version',
+            'Version of the configuration in force; 0 before the first.',
+            lambda: (
+                gateway.groups.catalog.version if gateway.groups.catalog else 0
+            ),
+        )
+        watch(
+            'duty_token',
+            'Fencing token of this process; 0 if it may not replace primaries.',
+            lambda: gateway.failover.tenure.token,
+        )
+        for copy in gateway.readings.copies:
+            watch(
+                'reading_age_seconds_{0}'.format(copy.table),
+                'Age of the newest reading of a table of the store.',
+                partial(_find_age, copy),
+            )
+
     async def _say_ready(self, _request: HttpRequest) -> HttpResponse:
         drain = self._gateway.drain
         is_open = drain.is_listening and not drain.is_started
@@ -66,6 +97,10 @@
         return HttpResponse(msgspec.json.encode(describe(self._gateway)))
 
 
+def _find_age(copy: TableCopy) -> float:
+    return anyio.current_time() - copy.read_at
+
+
 def describe(gateway: 'Gateway') -> dict[str, Any]:
     """Return the state dump of a process."""
     now = anyio.current_time()
--- a/catkincrank/platform/trial.py
+++ b/catkincrank/platform/trial.py
@@ -22,7 +22,7 @@
 from catkincrank.platform.standin import PlatformStandIn
 from catkincrank.standins.linegroup import LineGroup
 
-__all__ = ('TrialFlags', 'run')
+__all__ = ('TrialFlags', 'make_config', 'run')
 
 _HOST = '127.0.0.1'
 _SERVICE = 'ledger'
@@ -96,7 +96,7 @@
     tally = _Tally()
     async with anyio.create_task_group() as tasks:
         await tasks.start(platform.run)
-        platform.rows.write(CONFIG_TABLE, [], {CONFIG_KEY: _make_config()})
+        platform.rows.write(CONFIG_TABLE, [], {CONFIG_KEY: make_config()})
         gateways = await _start_gateways(flags, platform, tasks)
         await _disturb(flags, group, platform, gateways, tally)
         tasks.cancel_scope.cancel()
@@ -223,7 +223,8 @@
     }
 
 
-def _make_config() -> bytes:
+def make_config() -> bytes:
+    """Return a configuration with a route of each kind."""
     return msgspec.json.encode(
         {
             'version': 1,
--- a/tests/gatewaypath.py
+++ b/tests/gatewaypath.py
@@ -44,7 +44,7 @@
         placement = Placement(self.groups, self.pools, latencies)
         self.front = Front(
             self.groups,
-            Execution(self.groups, placement, passer),
+            Execution(self.groups, placement, passer, Metrics()),
             Transactions(self.groups, placement, passer),
             RequestLog(Metrics(), LineBudget()),
             LineCodec,
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -22,7 +22,7 @@
         return await super().run(session, route, statement)
 
 
-def _find_port():
+def find_port():
     with socket.socket() as found:
         found.bind(('127.0.0.1', 0))
         return found.getsockname()[1]
@@ -36,7 +36,7 @@
     async def scenario():
         execution = HeldExecution()
         front = Wire(execution).front
-        port = _find_port()
+        port = find_port()
         options = GatewayOptions(
             'vm',
             'zone',
