--- a/catkincrank/gateway/transactions.py
+++ b/catkincrank/gateway/transactions.py
@@ -74,6 +74,13 @@
             StatementFailed: The transaction has failed; nothing is kept.
         """
         transaction = session.transaction
+        if transaction.is_read_only and session.writes(statement):
+            await self.abandon(transaction)
+            session.fail()
+            raise StatementFailed(
+                Failure.READ_ONLY,
+                'a write in a transaction that only reads',
+            )
         deadline = anyio.current_time() + route.timeout_s
         try:
             reply = await self._run_first(
--- a/catkincrank/logs.py
+++ b/catkincrank/logs.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from catkincrank.journal import Event, Journal
+from catkincrank.logpipe import LogPipe
 
 __all__ = ('Recorder', 'configure_logs', 'log_event', 'redact')
 
@@ -19,7 +20,10 @@
 _EVENT = 'event'
 
 
-def configure_logs(source: str, sink: TextIO = sys.stderr) -> None:
+def configure_logs(
+    source: str,
+    sink: TextIO | LogPipe = sys.stderr,
+) -> None:
     """Send each log line to ``sink`` as JSON that names ``source``."""
     logger.remove()
     logger.configure(extra={'source': source})
--- a/catkincrank/programs.py
+++ b/catkincrank/programs.py
@@ -2,6 +2,7 @@
 
 import importlib
 import os
+import sys
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any, final
@@ -9,6 +10,7 @@
 import anyio
 
 from catkincrank.clock import SuspendAwareLoop
+from catkincrank.logpipe import LogPipe
 from catkincrank.logs import configure_logs, log_event
 from catkincrank.options import parse_options
 
@@ -34,12 +36,15 @@
         options: Name of the class of its flags there.
         is_suspend_aware: Whether its clock counts suspended time.
         needs_variants: Whether settings name drivers by their variants.
+        logs_to_output: Whether log lines go to standard output, where nobody
+            may be reading, and not to standard error.
     """
 
     module: str
     options: str
     is_suspend_aware: bool = False
     needs_variants: bool = True
+    logs_to_output: bool = False
 
 
 PROGRAMS = {  # noqa: WPS407
@@ -50,6 +55,7 @@
         'GatewayFlags',
         is_suspend_aware=True,
         needs_variants=False,
+        logs_to_output=True,
     ),
     'gateway-trial': Program(
         'catkincrank.platform.trial',
@@ -84,7 +90,10 @@
     if program.needs_variants:
         load_variants()
     source = getattr(options, 'name', '') or name
-    configure_logs(source)
+    if program.logs_to_output:
+        configure_logs(source, LogPipe(sys.stdout.fileno()))
+    else:
+        configure_logs(source)
     log_event('program_started', program=name, process_id=os.getpid())
     backend = {}
     if program.is_suspend_aware:
--- a/catkincrank/story.py
+++ b/catkincrank/story.py
@@ -12,7 +12,7 @@
 # What happened to a group this long before a request failed may have caused
 # it: a replacement takes up to 6 s.
 _BEFORE_S = 8.0
-_AFTER_S = 0.5
+_AFTER_S = 3.0
 _HIDDEN = frozenset(('time', 'level', 'event', 'source'))
 
 
