--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -68,12 +68,15 @@
 
 @pytest.mark.parametrize(
     'path',
-    sorted((PACKAGE / 'platform').glob('*.py')),
+    [
+        path
+        for path in sorted((PACKAGE / 'platform').glob('*.py'))
+        # These stand in for the platform and serve nobody.
+        if path.stem not in {'standin', 'trial'}
+    ],
     ids=lambda path: path.stem,
 )
 def test_the_adapter_imports_nothing_that_decides(path):
-    if path.stem in {'standin', 'trial'}:
-        pytest.skip('stands in for the platform, serves nobody')
     for module in _list_imports(path):
         if module.startswith('catkincrank.gateway.'):
             assert module.rpartition('.')[2] in TYPES
