--- a/catkincrank/gateway/inspection.py
+++ b/catkincrank/gateway/inspection.py
@@ -1,5 +1,6 @@
 """Finds out the state of endpoints over connections of its own."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import final
 
@@ -94,21 +95,21 @@
         limit_s: float = _LIMIT_S,
     ) -> Finding:
         """Return what comes of a question to an endpoint."""
-        key = '{0}/{1}'.format(entry.endpoint_id, entry.born_ms)
+        key = _key_of(entry)
         lock = self._locks.setdefault(key, anyio.Lock())
         with anyio.move_on_after(limit_s):
             async with lock:
                 return await self._try(key, entry, command)
         return Finding(is_alive=False)
 
-    async def keep(self, keys: set[str]) -> None:
-        """Close connections to endpoints that are not among ``keys``."""
-        for key in set(self._links) - keys:
+    async def keep(self, entries: Iterable[EndpointEntry]) -> None:
+        """Close connections to endpoints that are not among ``entries``."""
+        for key in set(self._links) - set(map(_key_of, entries)):
             await self._drop(key)  # noqa: WPS476
 
     async def close(self) -> None:
         """Close every connection."""
-        await self.keep(set())
+        await self.keep(())
 
     async def _try(
         self,
@@ -147,3 +148,7 @@
         link = self._links.pop(key, None)
         if link is not None:
             await link.close()
+
+
+def _key_of(entry: EndpointEntry) -> str:
+    return '{0}/{1}'.format(entry.endpoint_id, entry.born_ms)
--- a/catkincrank/gateway/link.py
+++ b/catkincrank/gateway/link.py
@@ -118,14 +118,6 @@
     async def fetch_state(self) -> EndpointState | None:
         """Return the endpoint's state; ``None`` when it is too busy."""
 
-    @abstractmethod
-    async def pause(self, term: int) -> EndpointState | None:
-        """Stop a replica from receiving, until ``term`` has a primary."""
-
-    @abstractmethod
-    async def resume(self) -> EndpointState | None:
-        """Let a replica receive again."""
-
     @abstractmethod
     async def demote(self, term: int) -> EndpointState | None:
         """Make a primary of a term below ``term`` a replica."""
--- a/catkincrank/gateway/options.py
+++ b/catkincrank/gateway/options.py
@@ -47,7 +47,6 @@
         store: Address of the table service.
         promoter: Address of what appoints primaries.
         grace_s: Time between the signal to stop and the kill, in seconds.
-        drain_s: Time after which a leaving endpoint gets no new work.
     """
 
     name: str
@@ -61,4 +60,3 @@
     promoter: str
     regions: Mapping[str, str] = field(default_factory=dict)
     grace_s: float = 6
-    drain_s: float = 7
--- a/catkincrank/gateway/peers.py
+++ b/catkincrank/gateway/peers.py
@@ -57,13 +57,6 @@
                 tasks.start_soon(ask_one, peer)
         return answers
 
-    def forget(self, known: Iterable[MemberRecord]) -> None:
-        """Drop what is kept of peers that are not among ``known``."""
-        kept = set(known)
-        for peer in set(self._locks) - kept:
-            if peer not in self._links:
-                self._locks.pop(peer)
-
     async def _ask_once_more(
         self,
         peer: MemberRecord,
--- a/catkincrank/gateway/supervision.py
+++ b/catkincrank/gateway/supervision.py
@@ -22,6 +22,8 @@
 _INTERVAL_S = 0.4
 _SUSPECT_INTERVAL_S = 0.1
 _VOTE_LIMIT_S = 0.6
+# New services are looked for this often, in seconds.
+_SURVEY_S = 0.4
 # A primary that runs statements is asked for its role this often, in seconds.
 _STATE_INTERVAL_S = 2.0
 
@@ -95,7 +97,8 @@
                 for service in services - self._watched:
                     self._watched.add(service)
                     tasks.start_soon(self._watch, service)
-                await anyio.sleep(_INTERVAL_S)
+                await self._inspector.keep(self._groups.roster.list_entries())
+                await anyio.sleep(_SURVEY_S)
 
     async def _watch(self, service: str) -> None:
         watch = _Watch()
--- a/catkincrank/platform/endpoints.py
+++ b/catkincrank/platform/endpoints.py
@@ -146,14 +146,6 @@
         """Return the endpoint's state; ``None`` when it is too busy."""
         return await self._command(b'STATUS')
 
-    async def pause(self, term: int) -> EndpointState | None:
-        """Stop a replica from receiving, until ``term`` has a primary."""
-        return await self._command(b'PAUSE %d' % term)
-
-    async def resume(self) -> EndpointState | None:
-        """Let a replica receive again."""
-        return await self._command(b'RESUME')
-
     async def demote(self, term: int) -> EndpointState | None:
         """Make a primary of a term below ``term`` a replica."""
         return await self._command(b'DEMOTE %d' % term)
--- a/catkincrank/platform/lines.py
+++ b/catkincrank/platform/lines.py
@@ -8,12 +8,19 @@
 import anyio
 from anyio.abc import ByteStream
 
-__all__ = ('MAX_LINE_BYTES', 'LineReader', 'LineTooLongError', 'split_line')
+__all__ = ('HANG_UPS', 'LineReader', 'LineTooLongError')
 
 # The page on the protocol limits a message to 1 MiB.
-MAX_LINE_BYTES = 1024 * 1024
+_MAX_LINE_BYTES = 1024 * 1024
 _READ_BYTES = 65536
 _END = b'\r\n'
+# How anyio tells that the other end has gone.
+HANG_UPS = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
 
 
 @final
@@ -50,7 +57,7 @@
                 del self._buffer[: end + len(_END)]  # noqa: WPS420
                 return line
             searched = max(0, len(self._buffer) - 1)
-            if searched > MAX_LINE_BYTES:
+            if searched > _MAX_LINE_BYTES:
                 raise LineTooLongError
             self._buffer += await self._stream.receive(_READ_BYTES)
 
@@ -58,16 +65,3 @@
     def has_bytes(self) -> bool:
         """Whether bytes have arrived that were not read as a line yet."""
         return bool(self._buffer)
-
-
-def split_line(line: bytes, fields: int) -> list[bytes]:
-    """Return the word of a line and up to ``fields`` fields."""
-    return line.split(b' ', fields)
-
-
-HANG_UPS = (
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    OSError,
-)
--- a/catkincrank/platform/settings.py
+++ b/catkincrank/platform/settings.py
@@ -29,7 +29,6 @@
 
 class _Bounds(msgspec.Struct):
     grace_s: float = 6
-    drain_ms: float = 7000
 
 
 class _Settings(msgspec.Struct):
@@ -79,5 +78,4 @@
         store=found.platform.address,
         promoter=found.cloud.address,
         grace_s=found.bounds.grace_s,
-        drain_s=found.bounds.drain_ms / 1000,
     )
--- a/catkincrank/platform/standin.py
+++ b/catkincrank/platform/standin.py
@@ -257,8 +257,6 @@
 
 _COMMANDS = {  # noqa: WPS407
     b'STATUS': 'fetch_state',
-    b'PAUSE': 'pause',
-    b'RESUME': 'resume',
     b'DEMOTE': 'demote',
 }
 
--- a/catkincrank/standins/linelink.py
+++ b/catkincrank/standins/linelink.py
@@ -152,14 +152,6 @@
         await self._work()
         return self._group.describe(self.instance)
 
-    async def pause(self, term: int) -> EndpointState | None:
-        """Stop a replica from receiving."""
-        return await self.fetch_state()
-
-    async def resume(self) -> EndpointState | None:
-        """Let a replica receive again."""
-        return await self.fetch_state()
-
     async def demote(self, term: int) -> EndpointState | None:
         """Make a primary of a term below ``term`` a replica."""
         await self._work()
