Keep one bad line or registration from ending the gateway

Found by reading the change once more; each with a test that first failed. Cause: a line over 1 MiB raised an error that the session did not expect, and any such error ended every session with the task group; a registration of another writer with a port out of range or an identifier outside ASCII raised in a task of the pools. Change: an overlong line is one of the ways in which a stream ends, and all names of these stand in one place; a session that crashes ends alone with a line session_crashed; decode_entry checks ports and identifiers; samples count only from the moment of the grant.

--- a/catkincrank/gateway/callers.py
+++ b/catkincrank/gateway/callers.py
@@ -4,13 +4,28 @@
 from dataclasses import dataclass
 from typing import final
 
+import anyio
 from anyio.abc import ByteStream
 
 from catkincrank.gateway.reply import Failure, Reply
 from catkincrank.gateway.statement import Statement
 from catkincrank.registry import Registry
 
-__all__ = ('CallerCodec', 'Startup', 'Terminate', 'caller_codecs')
+__all__ = (
+    'HANG_UPS',
+    'CallerCodec',
+    'Startup',
+    'Terminate',
+    'caller_codecs',
+)
+
+# How a stream tells that the other end has gone.
+HANG_UPS = (
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    OSError,
+)
 
 
 @final
@@ -36,7 +51,8 @@
 class CallerCodec(ABC):
     """Reads requests of one caller and writes the replies.
 
-    Every method raises one of anyio's stream errors when the connection ends.
+    Every method raises one of ``HANG_UPS`` when the connection ends, or when
+    what came can neither be read nor passed over.
 
     Args:
         stream: The caller's connection.
--- a/catkincrank/gateway/evidence.py
+++ b/catkincrank/gateway/evidence.py
@@ -46,14 +46,22 @@
         grant: The newest grant, which may have ended.
         reached: Newest position seen of each endpoint.
         answered_at: When each endpoint last answered, in seconds.
+        granted_at: When the present primary was first granted, in seconds.
     """
 
-    __slots__ = ('_samples', 'answered_at', 'grant', 'reached')
+    __slots__ = (
+        '_samples',
+        'answered_at',
+        'grant',
+        'granted_at',
+        'reached',
+    )
 
     def __init__(self) -> None:
         self.grant: Grant | None = None
         self.reached: dict[str, Position] = {}
         self.answered_at: dict[str, float] = {}
+        self.granted_at: float = 0
         self._samples: deque[tuple[float, Position]] = deque()
 
     def find_grant(self, now: float) -> Grant | None:
@@ -74,7 +82,7 @@
         grant = self.find_grant(now)
         return grant is not None and grant.term == term
 
-    def take_grant(self, grant: Grant | None) -> bool:
+    def take_grant(self, grant: Grant | None, now: float) -> bool:
         """Replace the grant; return whether the primary changed."""
         before = self.grant
         self.grant = grant
@@ -83,6 +91,7 @@
         changed = before is None or before.term != grant.term
         if changed:
             self.reached.clear()
+            self.granted_at = now
         return changed
 
     def note(
@@ -107,7 +116,10 @@
         grant = self.find_grant(now)
         if grant is None or grant.endpoint_id != endpoint_id:
             return
-        self.add_sample(sent_at, position)
+        # A question from before was answered by a replica, perhaps, which has
+        # received more since.
+        if sent_at >= self.granted_at:
+            self.add_sample(sent_at, position)
 
     def add_sample(self, taken_at: float, position: Position) -> None:
         """Keep a position of the primary's log."""
--- a/catkincrank/gateway/front.py
+++ b/catkincrank/gateway/front.py
@@ -6,7 +6,12 @@
 from anyio.abc import SocketStream
 
 from catkincrank.endpoint import TransactionStatus
-from catkincrank.gateway.callers import CallerCodec, Startup, Terminate
+from catkincrank.gateway.callers import (
+    HANG_UPS,
+    CallerCodec,
+    Startup,
+    Terminate,
+)
 from catkincrank.gateway.catalog import Route
 from catkincrank.gateway.execution import Execution
 from catkincrank.gateway.groups import Groups
@@ -22,12 +27,6 @@
 _STARTUP_LIMIT_S = 5.0
 # What has arrived by the time that a session ends is still answered.
 _LAST_LOOK_S = 0.02
-_HANG_UPS = (
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    OSError,
-)
 
 
 @final
@@ -123,8 +122,11 @@
             self.callers.add(caller)
             try:
                 await self._converse(caller)
-            except _HANG_UPS:
+            except HANG_UPS:
                 self._log.note_hang_up(caller.session)
+            except Exception as error:
+                # One session that goes wrong must not end the others.
+                self._log.note_crash(caller.session, error)
             finally:
                 self.callers.discard(caller)
                 await self._clean_up(caller)
--- a/catkincrank/gateway/ledger.py
+++ b/catkincrank/gateway/ledger.py
@@ -133,10 +133,11 @@
     def refresh(self) -> None:
         """Work out the grants anew."""
         has_changed = False
+        now = anyio.current_time()
         for service in self.records:
             grant = self._make_grant(service)
             evidence = self.groups.evidence(service)
-            if evidence.take_grant(grant):
+            if evidence.take_grant(grant, now):
                 has_changed = True
                 log_event(
                     'primary_granted',
--- a/catkincrank/gateway/requestlog.py
+++ b/catkincrank/gateway/requestlog.py
@@ -126,6 +126,14 @@
         if session is not None and session.transaction is not None:
             self._write('caller_left', database=session.database)
 
+    def note_crash(self, session: Session | None, error: Exception) -> None:
+        """Note a session that ended by an error of the proxy's own."""
+        self._write(
+            'session_crashed',
+            database='' if session is None else session.database,
+            cause=repr(error),
+        )
+
     def _write(self, event: str, **fields: object) -> None:
         if not self._budget.take(anyio.current_time()):
             return
--- a/catkincrank/platform/documents.py
+++ b/catkincrank/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes the operator's configuration and the endpoints' registrations."""
 
+import re
 from typing import Any
 
 import msgspec
@@ -26,6 +27,9 @@
     'read_your_writes': Consistency.SESSION,
 }
 _DRAINING = 'draining'
+_MAX_PORT = 65535
+# What a field of the session protocol can carry.
+_IDENTIFIER = re.compile('[!-~]+')
 _STATES = frozenset(('ready', _DRAINING))
 _ROLES = {'primary': True, 'replica': False}  # noqa: WPS407
 
@@ -119,8 +123,10 @@
     host, _, port = found.address.rpartition(':')
     if found.state not in _STATES or found.db_role not in _ROLES:
         raise ValueError('unknown state or role')
-    if not host or any(char.isspace() for char in endpoint_id):
-        raise ValueError('unusable address or identifier')
+    if not host or not 0 < int(port) <= _MAX_PORT:
+        raise ValueError('unusable address')
+    if not _IDENTIFIER.fullmatch(endpoint_id):
+        raise ValueError('unusable identifier')
     return EndpointEntry(
         endpoint_id,
         found.service,
--- a/catkincrank/platform/endpoints.py
+++ b/catkincrank/platform/endpoints.py
@@ -7,6 +7,7 @@
 
 from catkincrank.endpoint import TransactionStatus
 from catkincrank.errors import EndpointError
+from catkincrank.gateway.callers import HANG_UPS
 from catkincrank.gateway.link import (
     EndpointLink,
     EndpointState,
@@ -19,7 +20,7 @@
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.gateway.statement import Kind, Prepared, Statement
 from catkincrank.keepalive import has_news, watch_peer
-from catkincrank.platform.lines import HANG_UPS, LineReader, LineTooLongError
+from catkincrank.platform.lines import LineReader
 from catkincrank.platform.words import FAILURES, parse_position, parse_status
 
 __all__ = ('LineDriver', 'LineLink')
@@ -27,7 +28,6 @@
 # Requests of our own carry this identifier.
 _OWN_ID: Final = b'-'
 _ROLES = {b'primary': True, b'replica': False}  # noqa: WPS407
-_UNREADABLE = (*HANG_UPS, LineTooLongError)
 # role, term, received, promised, lag_ms, busy, connections
 _STATE_FIELDS = 4
 
@@ -211,7 +211,7 @@
     async def _read(self) -> bytes:
         try:
             return await self._reader.read()
-        except _UNREADABLE as error:
+        except HANG_UPS as error:
             raise EndpointError(repr(error), was_sent=True) from None
 
 
--- a/catkincrank/platform/lines.py
+++ b/catkincrank/platform/lines.py
@@ -8,24 +8,17 @@
 import anyio
 from anyio.abc import ByteStream
 
-__all__ = ('HANG_UPS', 'LineReader', 'LineTooLongError')
+__all__ = ('LineReader', 'LineTooLongError')
 
 # The page on the protocol limits a message to 1 MiB.
 _MAX_LINE_BYTES = 1024 * 1024
 _READ_BYTES = 65536
 _END = b'\r\n'
-# How anyio tells that the other end has gone.
-HANG_UPS = (
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    OSError,
-)
 
 
 @final
-class LineTooLongError(Exception):
-    """A line is longer than the protocol allows."""
+class LineTooLongError(anyio.BrokenResourceError):
+    """A line is longer than the protocol allows; the stream is of no use."""
 
 
 @final
--- a/catkincrank/platform/standin.py
+++ b/catkincrank/platform/standin.py
@@ -12,6 +12,7 @@
 from anyio.abc import SocketAttribute, SocketStream
 
 from catkincrank.errors import ConflictError, EndpointError
+from catkincrank.gateway.callers import HANG_UPS
 from catkincrank.gateway.link import EndpointState
 from catkincrank.gateway.promoter import PromotionError
 from catkincrank.gateway.reply import Failure, Reply, refuse
@@ -20,7 +21,7 @@
 from catkincrank.httpserver import HttpRequest, HttpResponse, HttpServer
 from catkincrank.platform.callers import LineCodec, parse_statement
 from catkincrank.platform.documents import ROSTER_TABLE
-from catkincrank.platform.lines import HANG_UPS, LineReader
+from catkincrank.platform.lines import LineReader
 from catkincrank.platform.words import parse_position
 from catkincrank.standins.linegroup import (
     LineGroup,
--- a/catkincrank/platform/trial.py
+++ b/catkincrank/platform/trial.py
@@ -14,10 +14,11 @@
 import msgspec
 from anyio.abc import TaskGroup
 
+from catkincrank.gateway.callers import HANG_UPS
 from catkincrank.gateway.daemon import Gateway
 from catkincrank.gateway.options import Address, GatewayOptions
 from catkincrank.platform.documents import CONFIG_KEY, CONFIG_TABLE
-from catkincrank.platform.lines import HANG_UPS, LineReader
+from catkincrank.platform.lines import LineReader
 from catkincrank.platform.program import ADAPTER, DOCUMENTS
 from catkincrank.platform.standin import PlatformStandIn
 from catkincrank.standins.linegroup import LineGroup
--- a/tests/gatewaypath.py
+++ b/tests/gatewaypath.py
@@ -57,9 +57,8 @@
         return self.groups.evidence('svc')
 
     def grant(self, name='a', term=1, length_s=3600, bases=()):
-        self.evidence.take_grant(
-            Grant(name, term, anyio.current_time() + length_s, bases),
-        )
+        now = anyio.current_time()
+        self.evidence.take_grant(Grant(name, term, now + length_s, bases), now)
         self.groups.wake()
 
     def open(self, database):
--- /dev/null
+++ b/tests/test_gateway_evidence.py
@@ -0,0 +1,49 @@
+import pytest
+
+from catkincrank.gateway.evidence import Grant, GroupEvidence
+from catkincrank.gateway.position import Position
+
+
+def _make_grant(name, term, until=100, bases=()):
+    return Grant(name, term, until, bases)
+
+
+@pytest.mark.parametrize(
+    ('sent_at', 'is_sample'),
+    [(4, False), (9.9, False), (10, True), (11, True)],
+)
+def test_an_answer_to_a_question_from_before_the_grant_is_no_sample(
+    sent_at, is_sample
+):
+    """The endpoint was a replica then, and lacked what it received later."""
+    evidence = GroupEvidence()
+    evidence.take_grant(_make_grant('a', 1), 1)
+    evidence.take_grant(_make_grant('b', 2), 10)
+    evidence.note('b', Position(1, 38), sent_at, 12)
+    assert (evidence.cover(0) is not None) is is_sample
+
+
+def test_a_renewed_grant_keeps_its_samples():
+    evidence = GroupEvidence()
+    evidence.take_grant(_make_grant('a', 1), 1)
+    evidence.take_grant(_make_grant('a', 1), 10)
+    evidence.note('a', Position(1, 38), 5, 12)
+    assert evidence.cover(5) == Position(1, 38)
+    assert evidence.cover(6) is None
+
+
+@pytest.mark.parametrize(
+    ('position', 'expected'),
+    [
+        (Position(1, 50), Position(1, 40)),
+        (Position(1, 30), Position(1, 30)),
+        (Position(2, 41), Position(2, 41)),
+        (Position(2, 90), Position(2, 60)),
+        (Position(3, 61), Position(3, 61)),
+    ],
+)
+def test_positions_lose_what_later_terms_rolled_back(position, expected):
+    evidence = GroupEvidence()
+    bases = ((2, Position(1, 40)), (3, Position(2, 60)))
+    evidence.take_grant(_make_grant('c', 3, bases=bases), 1)
+    assert evidence.clip(position) == expected
--- a/tests/test_gateway_front.py
+++ b/tests/test_gateway_front.py
@@ -156,3 +156,33 @@
             tasks.cancel_scope.cancel()
 
     virtualtime.run(scenario)
+
+
+class CrashingExecution:
+    """Fails in a way that nobody foresaw."""
+
+    async def run(self, session, route, statement):
+        raise KeyError('unforeseen')
+
+
+@pytest.mark.parametrize(
+    ('execution', 'request_bytes'),
+    [
+        (SlowExecution(), b'QUERY 1 READ ' + b'x' * (1 << 21)),
+        (CrashingExecution(), b'QUERY 1 READ k\r\n'),
+    ],
+)
+def test_one_session_that_goes_wrong_harms_no_other(execution, request_bytes):
+    """Such a session ended the whole process."""
+
+    async def scenario():
+        wire = Wire(execution)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(wire.serve)
+            await wire.send.send(b'STARTUP db u\r\n')
+            await anyio.sleep(1)
+            await wire.send.send(request_bytes)
+            await anyio.sleep(1)
+            assert not wire.front.callers
+
+    virtualtime.run(scenario)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -134,6 +134,9 @@
         {'address': 'nowhere'},
         {'address': '10.0.0.1:x'},
         {'address': ':80'},
+        {'address': '10.0.0.1:0'},
+        {'address': '10.0.0.1:65536'},
+        {'address': '10.0.0.1:-1'},
         {'state': 'odd'},
         {'db_role': 'witness'},
         {'slots': 'three'},
@@ -147,6 +150,11 @@
     assert decode_entry('i-1', body) is None
 
 
+@pytest.mark.parametrize('name', ['', 'i 1', 'i-\xe9', 'i\r\n1', 'i\x001'])
+def test_identifiers_that_the_protocol_cannot_carry_name_no_endpoint(name):
+    assert decode_entry(name, msgspec.json.encode(ENTRY)) is None
+
+
 @pytest.mark.parametrize('body', [b'', b'\xff\x00', b'[]', b'{}', b'null'])
 def test_registrations_that_are_no_object_name_no_endpoint(body):
     assert decode_entry('i-1', body) is None
