--- a/catkincrank/gateway/assembly.py
+++ b/catkincrank/gateway/assembly.py
@@ -131,7 +131,7 @@
     return Front(
         groups,
         Execution(groups, placement, passer, metrics),
-        Transactions(groups, placement, passer),
+        Transactions(placement, passer),
         RequestLog(metrics, LineBudget()),
         caller_codecs.find(adapter.callers),
     )
--- a/catkincrank/gateway/catalog.py
+++ b/catkincrank/gateway/catalog.py
@@ -2,7 +2,7 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import final
 
 __all__ = ('Catalog', 'Consistency', 'Route', 'Service')
@@ -71,11 +71,9 @@
         services: Services by name.
         transaction_idle_s: Time after which a transaction without a
             statement may be rolled back, in seconds.
-        raw: The encoded form, for other processes.
     """
 
     version: int
     routes: Mapping[str, Route]
     services: Mapping[str, Service]
     transaction_idle_s: float
-    raw: bytes = field(default=b'', repr=False)
--- a/catkincrank/gateway/execution.py
+++ b/catkincrank/gateway/execution.py
@@ -172,11 +172,6 @@
         if not need.is_write:
             self._count_read(need, choice)
             return reply
-        evidence = self._groups.evidence(need.route.service)
-        if not evidence.holds(choice.term, anyio.current_time()):
-            raise StatementFailed(
-                Failure.IN_DOUBT,
-                'the grant of the primary ended before its answer came',
-            )
-        session.advance(reply.position)
+        service = need.route.service
+        self._passer.acknowledge(session, service, choice.term, reply)
         return reply
--- a/catkincrank/gateway/inspection.py
+++ b/catkincrank/gateway/inspection.py
@@ -1,6 +1,6 @@
 """Finds out the state of endpoints over connections of its own."""
 
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from typing import final
 
@@ -16,37 +16,19 @@
 from catkincrank.gateway.reply import Failure
 from catkincrank.gateway.roster import EndpointEntry
 
-__all__ = ('FETCH_STATE', 'Command', 'Finding', 'Inspector')
+__all__ = ('Command', 'Finding', 'Inspector', 'fetch_state')
 
 # An endpoint answers a question about its state within a round trip of 24 ms
 # and the 12 ms that a new connection takes; a slow one five times that.
 _LIMIT_S = 0.4
 
 
-@final
-class Command:
-    """What an endpoint is told; each asks for its state in return.
-
-    Args:
-        name: Name of the link's method.
-        term: Term that goes with it; ``None`` for none.
-    """
-
-    __slots__ = ('name', 'term')
-
-    def __init__(self, name: str, term: int | None = None) -> None:
-        self.name = name
-        self.term = term
-
-    async def send(self, link: EndpointLink) -> EndpointState | None:
-        """Send it on a link."""
-        method = getattr(link, self.name)
-        if self.term is None:
-            return await method()
-        return await method(self.term)
+Command = Callable[[EndpointLink], Awaitable[EndpointState | None]]
 
 
-FETCH_STATE = Command('fetch_state')
+async def fetch_state(link: EndpointLink) -> EndpointState | None:
+    """Ask an endpoint for its state; what each question is by default."""
+    return await link.fetch_state()
 
 
 @final
@@ -82,7 +64,7 @@
     async def ask(
         self,
         entry: EndpointEntry,
-        command: Command = FETCH_STATE,
+        command: Command = fetch_state,
         limit_s: float = _LIMIT_S,
     ) -> EndpointState | None:
         """Return an endpoint's state; ``None`` when it did not tell."""
@@ -91,7 +73,7 @@
     async def look(
         self,
         entry: EndpointEntry,
-        command: Command = FETCH_STATE,
+        command: Command = fetch_state,
         limit_s: float = _LIMIT_S,
     ) -> Finding:
         """Return what comes of a question to an endpoint."""
@@ -136,7 +118,7 @@
         if link is None:
             link = await self._pools.connect(entry)
         try:
-            state = await command.send(link)
+            state = await command(link)
         except BaseException:
             with anyio.CancelScope(shield=True):
                 await link.close()
--- a/catkincrank/gateway/linkpools.py
+++ b/catkincrank/gateway/linkpools.py
@@ -25,9 +25,9 @@
 # than this is broken.
 _CONNECT_LIMIT_S = 0.5
 _TICK_INTERVAL_S = 0.1
-# Unused links beyond the first are closed soon, so that other VMs find room.
 # More statements than this cannot be served within any route's time limit.
 _QUEUE_LENGTH = 256
+# Unused links beyond the first are closed soon, so that other VMs find room.
 _OPTIONS = PoolOptions(
     queue_length=_QUEUE_LENGTH,
     idle_s=3,
--- a/catkincrank/gateway/passing.py
+++ b/catkincrank/gateway/passing.py
@@ -4,12 +4,14 @@
 
 import anyio
 
+from catkincrank.endpoint import TransactionStatus
 from catkincrank.errors import EndpointError
 from catkincrank.gateway.choice import Latencies
 from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.link import EndpointLink
 from catkincrank.gateway.linkpools import BorrowedLink
 from catkincrank.gateway.position import Position
-from catkincrank.gateway.reply import Reply
+from catkincrank.gateway.reply import Failure, Reply, StatementFailed
 from catkincrank.gateway.session import Session
 from catkincrank.gateway.statement import Kind, Statement
 
@@ -78,6 +80,32 @@
         self._learn(borrowed, reply, sent_at)
         return reply
 
+    def acknowledge(
+        self,
+        session: Session,
+        service: str,
+        term: int,
+        reply: Reply,
+    ) -> None:
+        """Take in a commit that the caller may be told of.
+
+        Args:
+            session: The caller's session.
+            service: Group that ran the commit.
+            term: Term of the primary that it was sent to.
+            reply: The primary's answer.
+
+        Raises:
+            StatementFailed: The primary may have been replaced meanwhile.
+        """
+        evidence = self._groups.evidence(service)
+        if not evidence.holds(term, anyio.current_time()):
+            raise StatementFailed(
+                Failure.IN_DOUBT,
+                'the grant of the primary ended before its answer came',
+            )
+        session.advance(reply.position)
+
     async def roll_back(self, borrowed: BorrowedLink) -> None:
         """Roll back and return the link, or close it."""
         try:
@@ -105,23 +133,18 @@
             EndpointError: The endpoint did not accept them; nothing ran.
         """
         link = borrowed.link
-        wanted = None
-        if statement.kind is Kind.EXECUTE:
-            wanted = session.prepared[statement.name]
-            if wanted in link.prepared:
-                wanted = None
-        is_reset = (
-            len(link.prepared) >= _MAX_PREPARED
-            or not link.values.keys() <= session.values.keys()
-        ) and not _is_open(borrowed)
+        is_reset = _needs_reset(link, session)
         known = {} if is_reset else link.values
         missing = {
             name: value
             for name, value in session.values.items()
             if known.get(name) != value
         }
-        if is_reset and statement.kind is Kind.EXECUTE:
+        wanted = None
+        if statement.kind is Kind.EXECUTE:
             wanted = session.prepared[statement.name]
+        if not is_reset and wanted in link.prepared:
+            wanted = None
         if not (is_reset or missing or wanted):
             return
         await self._configure(borrowed, missing, wanted, is_reset=is_reset)
@@ -163,5 +186,9 @@
         self._latencies.note(entry.endpoint_id, now - sent_at, now)
 
 
-def _is_open(borrowed: BorrowedLink) -> bool:
-    return borrowed.link.status.value != 'I'
+def _needs_reset(link: EndpointLink, session: Session) -> bool:
+    """Return whether a link holds what the session must not see."""
+    if link.status is not TransactionStatus.IDLE:
+        return False
+    is_full = len(link.prepared) >= _MAX_PREPARED
+    return is_full or not link.values.keys() <= session.values.keys()
--- a/catkincrank/gateway/revocation.py
+++ b/catkincrank/gateway/revocation.py
@@ -71,7 +71,7 @@
         """
         ends_at = anyio.current_time() + GRANT_S
         self._ledger.revoke(service, version)
-        await self._reload_members()
+        await self._ledger.copy.try_reload()
         request = RevokeRequest(service, version, self._ledger.me.name)
         await self._ask_until(request, token, ends_at)
 
@@ -91,7 +91,7 @@
         """
         ends_at = anyio.current_time() + GRANT_S
         self._ledger.revoke('', version)
-        await self._reload_members()
+        await self._ledger.copy.try_reload()
         request = RevokeRequest('', version, self._ledger.me.name)
         done = await self._ask_until(request, version, ends_at)
         if former and former not in done:
@@ -159,9 +159,3 @@
             for member in self._ledger.list_others()
             if member.name not in done
         ]
-
-    async def _reload_members(self) -> None:
-        try:
-            await self._ledger.copy.reload()
-        except StoreUnavailableError as error:
-            log_event('members_unread', 'WARNING', cause=str(error))
--- a/catkincrank/gateway/session.py
+++ b/catkincrank/gateway/session.py
@@ -25,8 +25,6 @@
         borrowed: The link that it runs on, from its first statement on.
         term: Term of the primary that it runs on; 0 at a replica.
         has_written: Whether a write of it succeeded.
-        statements: Statements that have run.
-        touched_at: When it last did something, in seconds.
         arrived_at: When it began, in seconds.
     """
 
@@ -36,9 +34,7 @@
         'has_written',
         'is_read_only',
         'route',
-        'statements',
         'term',
-        'touched_at',
     )
 
     def __init__(
@@ -53,8 +49,6 @@
         self.borrowed: BorrowedLink | None = None
         self.term = 0
         self.has_written = False
-        self.statements = 0
-        self.touched_at = now
         self.arrived_at = now
 
     def drop(self) -> None:
--- a/catkincrank/gateway/succession.py
+++ b/catkincrank/gateway/succession.py
@@ -14,7 +14,7 @@
     group_key,
 )
 from catkincrank.gateway.groups import Groups
-from catkincrank.gateway.inspection import FETCH_STATE, Command, Inspector
+from catkincrank.gateway.inspection import Inspector
 from catkincrank.gateway.ledger import Ledger
 from catkincrank.gateway.link import EndpointState
 from catkincrank.gateway.promoter import Promoter, PromotionError
@@ -164,8 +164,10 @@
         entry = self._groups.roster.find(record.primary)
         if entry is None:
             return None
-        command = Command('demote', record.term + 1)
-        state = await self._inspector.ask(entry, command)
+        state = await self._inspector.ask(
+            entry,
+            lambda link: link.demote(record.term + 1),
+        )
         log_event(
             'primary_demoted',
             service=record.service,
@@ -270,7 +272,7 @@
         entry = chosen[0]
         ends_at = anyio.current_time() + _LEAD_LIMIT_S
         while anyio.current_time() < ends_at:
-            state = await self._inspector.ask(entry, FETCH_STATE)
+            state = await self._inspector.ask(entry)
             if state is not None and _leads(state, record):
                 return entry, state
             await anyio.sleep(_LEAD_STEP_S)
@@ -305,7 +307,7 @@
             tasks.start_soon(self._look_for, record, version, tasks)
             written = await self._try_write(record, conditions)
             tasks.cancel_scope.cancel()
-        await self._reload()
+        await self._ledger.copy.try_reload()
         found_version, found = self._find_record(record.service)
         if found == record and found_version > version:
             return found_version
@@ -345,7 +347,7 @@
         """
         while True:
             await anyio.sleep(_LOOK_S)
-            await self._reload()
+            await self._ledger.copy.try_reload()
             found_version, found = self._find_record(record.service)
             if found == record and found_version > version:
                 tasks.cancel_scope.cancel()
@@ -353,12 +355,6 @@
     def _find_record(self, service: str) -> tuple[int, GroupRecord | None]:
         return self._ledger.records.get(service, (0, None))
 
-    async def _reload(self) -> None:
-        try:
-            await self._ledger.copy.reload()
-        except StoreUnavailableError as error:
-            log_event('record_unread', 'WARNING', cause=str(error))
-
 
 def _leads(state: EndpointState, record: GroupRecord) -> bool:
     return state.is_primary and state.term > record.term
--- a/catkincrank/gateway/tablecopy.py
+++ b/catkincrank/gateway/tablecopy.py
@@ -146,6 +146,20 @@
         )
         self._apply_direct(Changes(fresh + gone, found.version), started)
 
+    async def try_reload(self) -> bool:
+        """Read the whole table now; return whether an answer came."""
+        try:
+            await self.reload()
+        except StoreUnavailableError as error:
+            log_event(
+                'table_unread',
+                'WARNING',
+                table=self._table,
+                cause=str(error),
+            )
+            return False
+        return True
+
     def learn(self, changes: Changes, read_at: float) -> None:
         """Take in a reading that another process made."""
         if changes.version >= self.version and read_at > self.read_at:
--- a/catkincrank/gateway/tenure.py
+++ b/catkincrank/gateway/tenure.py
@@ -167,10 +167,7 @@
     async def _look(self) -> bool:
         """Read the store; return whether the holder is silent there too."""
         if not self._has_looked():
-            try:
-                await self._ledger.copy.reload()
-            except StoreUnavailableError:
-                return False
+            await self._ledger.copy.try_reload()
         return self._is_silent() and self._has_looked()
 
     async def _take_over(self, tasks: TaskGroup) -> None:
@@ -203,9 +200,7 @@
 
     async def _recall(self, me: HolderRecord) -> int:
         """Find out whether a write without an answer took effect."""
-        try:
-            await self._ledger.copy.reload()
-        except StoreUnavailableError:
+        if not await self._ledger.copy.try_reload():
             return 0
         holder = self._ledger.holder
         return holder[0] if holder is not None and holder[1] == me else 0
--- a/catkincrank/gateway/transactions.py
+++ b/catkincrank/gateway/transactions.py
@@ -8,7 +8,6 @@
 from catkincrank.errors import EndpointError
 from catkincrank.gateway.catalog import Route
 from catkincrank.gateway.choice import Choice
-from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.linkpools import BorrowedLink
 from catkincrank.gateway.passing import Passer
 from catkincrank.gateway.placement import Need, Placement
@@ -28,20 +27,17 @@
     """Runs statements of transactions.
 
     Args:
-        groups: Evidence about the groups.
         placement: Finds endpoints.
         passer: Passes statements on.
     """
 
-    __slots__ = ('_groups', '_passer', '_placement')
+    __slots__ = ('_passer', '_placement')
 
     def __init__(
         self,
-        groups: Groups,
         placement: Placement,
         passer: Passer,
     ) -> None:
-        self._groups = groups
         self._placement = placement
         self._passer = passer
 
@@ -98,7 +94,6 @@
             await self.abandon(transaction)
             session.fail()
             return _with_status(reply, session.status)
-        transaction.statements += 1
         if session.writes(statement):
             transaction.has_written = True
         return _with_status(reply, session.status)
@@ -167,13 +162,9 @@
         if reply.refusal is not None:
             return _with_status(reply, TransactionStatus.IDLE)
         if has_written:
-            evidence = self._groups.evidence(route.service)
-            if not evidence.holds(transaction.term, anyio.current_time()):
-                raise StatementFailed(
-                    Failure.IN_DOUBT,
-                    'the grant of the primary ended before its answer came',
-                )
-            session.advance(reply.position)
+            self._passer.acknowledge(
+                session, route.service, transaction.term, reply
+            )
         if reply.status is TransactionStatus.IDLE:
             transaction.borrowed.give_back()
         return reply
--- a/catkincrank/platform/documents.py
+++ b/catkincrank/platform/documents.py
@@ -100,7 +100,6 @@
         routes,
         services,
         found.limits.tx_idle_ms / _MS,
-        body,
     )
 
 
--- a/tests/gatewaypath.py
+++ b/tests/gatewaypath.py
@@ -45,7 +45,7 @@
         self.front = Front(
             self.groups,
             Execution(self.groups, placement, passer, Metrics()),
-            Transactions(self.groups, placement, passer),
+            Transactions(placement, passer),
             RequestLog(Metrics(), LineBudget()),
             LineCodec,
         )
