Add a fault soak of the gateway's real processes

What: benchmarks/soak starts gateway processes against the stand-in of the platform, each path through a loopback relay that delays, resets, holds back one way or both, or refuses; signals stop, pause, kill and restart processes; endpoints crash, slow down, fall behind and lose answers; the store is cut, slow, down, and loses its history. Eleven promises are checked from what callers and endpoints saw; each check is shown to fail by a table in tests/test_soak.py. Paths between gateways are not harmed yet, and clocks are not stepped.

--- a/Makefile
+++ b/Makefile
@@ -2,10 +2,11 @@
 PY := $(VENV)/bin/python
 DEPLOYMENT ?= sawari
 SEEDS ?= 20
+FIRST ?= 1
 WORKERS ?= 6
 STAMP := $(VENV)/.installed
 
-.PHONY: try test lint format bench faults slopes install
+.PHONY: try test lint format bench faults slopes soak install
 
 install: $(STAMP)
 
@@ -37,3 +38,6 @@
 
 slopes: $(STAMP)
 	$(PY) -m benchmarks.slopes
+
+soak: $(STAMP)
+	$(PY) -m benchmarks.soak.run --seeds $(SEEDS) --first $(FIRST)
--- /dev/null
+++ b/benchmarks/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomised soak of the gateway's real processes."""
--- /dev/null
+++ b/benchmarks/soak/history.py
@@ -0,0 +1,185 @@
+"""What callers and endpoints saw during a soak."""
+
+import enum
+from collections import defaultdict
+from dataclasses import dataclass, field
+from typing import final
+
+from catkincrank.gateway.position import Position
+from catkincrank.standins.linegroup import Turn
+from catkincrank.standins.linelink import Run
+
+__all__ = ('Attempt', 'Cut', 'History', 'Outcome', 'Span', 'VersionSeen')
+
+
+@final
+class Outcome(enum.Enum):
+    """What a caller knows of a request."""
+
+    DONE = 'success'
+    NOT_RUN = 'promise that nothing is kept'
+    IN_DOUBT = 'may have run'
+    UNANSWERED = 'connection ended'
+
+
+@final
+@dataclass(slots=True)
+class Attempt:  # noqa: WPS230
+    """One request of a caller.
+
+    Attributes:
+        request_id: Its identifier.
+        session: Number of the caller's session.
+        consistency: Type of the route.
+        text: The statement.
+        sent_at: When its first byte was sent, in seconds.
+        began_at: When its transaction, or itself, was sent.
+        transaction: Number of the caller's transaction; 0 outside.
+        values: Session values that the caller was told are set.
+        program: Name and incarnation of the gateway.
+        answered_at: When the whole answer had come.
+        outcome: What the caller knows.
+        rows: Rows of the answer.
+    """
+
+    request_id: bytes
+    session: int
+    consistency: str
+    text: bytes
+    sent_at: float
+    began_at: float
+    transaction: int
+    values: dict[bytes, bytes]
+    program: tuple[str, int]
+    answered_at: float = 0
+    outcome: Outcome = Outcome.UNANSWERED
+    rows: int = 0
+
+    @property
+    def is_read(self) -> bool:
+        """Whether it reads."""
+        return self.text.startswith((b'READ', b'EXECUTE'))
+
+    @property
+    def is_commit(self) -> bool:
+        """Whether a success of it commits something."""
+        single = self.text.startswith(b'WRITE') and not self.transaction
+        return single or self.text == b'COMMIT'
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """A request whose connection ended without an answer."""
+
+    attempt: Attempt
+    at: float
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Span:
+    """A trouble, from its start to its end, in seconds."""
+
+    kind: str
+    target: str
+    begins_at: float
+    ends_at: float
+    is_planned: bool
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class VersionSeen:
+    """The configuration that a gateway had in force at some time."""
+
+    at: float
+    program: tuple[str, int]
+    version: int
+
+
+@final
+@dataclass(slots=True)
+class History:
+    """All that was seen.
+
+    Attributes:
+        attempts: Requests by identifier.
+        runs: Statements as endpoints ran them.
+        turns: Changes of primary.
+        cuts: Requests whose connections ended.
+        spans: Troubles.
+        versions: Configurations that gateways had in force.
+        faults: What went wrong with the processes themselves.
+    """
+
+    attempts: dict[bytes, Attempt] = field(default_factory=dict)
+    runs: list[Run] = field(default_factory=list)
+    turns: list[Turn] = field(default_factory=list)
+    cuts: list[Cut] = field(default_factory=list)
+    spans: list[Span] = field(default_factory=list)
+    versions: list[VersionSeen] = field(default_factory=list)
+    faults: list[str] = field(default_factory=list)
+
+    def runs_by_id(self) -> dict[bytes, list[Run]]:
+        """Return the runs of each request."""
+        found: dict[bytes, list[Run]] = defaultdict(list)
+        for run in self.runs:
+            found[run.request_id].append(run)
+        return found
+
+    def kept_writes(self) -> dict[bytes, list[Run]]:
+        """Return, by request, the runs of writes that took effect."""
+        committed = {
+            (id(run.link), run.transaction)
+            for run in self.runs
+            if run.text == b'COMMIT'
+        }
+        found: dict[bytes, list[Run]] = defaultdict(list)
+        for run in self.runs:
+            place = (id(run.link), run.transaction)
+            is_kept = not run.transaction or place in committed
+            if run.text.startswith(b'WRITE') and is_kept:
+                found[run.request_id].append(run)
+        return found
+
+    def list_commits(self) -> list[tuple[Attempt, Run]]:
+        """Return the acknowledged commits that wrote, with their runs."""
+        writers = {
+            (id(run.link), run.transaction)
+            for run in self.runs
+            if run.text.startswith(b'WRITE') and run.transaction
+        }
+        return [
+            (attempt, run)
+            for run in self.runs
+            if (attempt := self.attempts.get(run.request_id)) is not None
+            and attempt.outcome is Outcome.DONE
+            and attempt.is_commit
+            and (
+                not run.transaction
+                or (id(run.link), run.transaction) in writers
+            )
+        ]
+
+    def is_rolled_back(self, position: Position) -> bool:
+        """Return whether a promotion dropped what was committed there."""
+        return any(
+            position.term < turn.term and position > turn.position
+            for turn in self.turns
+        )
+
+    def is_planned_cut(self, cut: Cut, stable_s: float) -> bool:
+        """Return whether only planned work can have cut a request.
+
+        Args:
+            cut: The request.
+            stable_s: How long unplanned trouble excuses cuts, in seconds.
+        """
+        begins_at = cut.attempt.sent_at - stable_s
+        around = [
+            span
+            for span in self.spans
+            if span.begins_at <= cut.at and span.ends_at >= begins_at
+        ]
+        return bool(around) and all(span.is_planned for span in around)
--- a/catkincrank/platform/standin.py
+++ b/catkincrank/platform/standin.py
@@ -60,6 +60,7 @@
         self.runs: list[Run] = []
         self.promotions: list[Any] = []
         self.ports: dict[str, int] = {}
+        self._detours: Mapping[str, int] = {}
         self._groups = dict(groups)
 
     async def run(
@@ -89,6 +90,11 @@
             self.register_all()
             task_status.started()
 
+    def lead_to(self, ports: Mapping[str, int]) -> None:
+        """Register endpoints at other ports, which lead to their own."""
+        self._detours = ports
+        self.register_all()
+
     def register_all(self) -> None:
         """Write the registrations of the endpoints that are up."""
         bodies = {
@@ -101,13 +107,12 @@
         self.rows.write(ROSTER_TABLE, [], bodies)
 
     def _describe(self, group: LineGroup, instance: LineInstance) -> bytes:
+        endpoint_id = instance.endpoint_id
+        port = self._detours.get(endpoint_id, self.ports[endpoint_id])
         return msgspec.json.encode(
             {
                 'service': group.service,
-                'address': '{0}:{1}'.format(
-                    _HOST,
-                    self.ports[instance.endpoint_id],
-                ),
+                'address': '{0}:{1}'.format(_HOST, port),
                 'zone': 'zone-a',
                 'version': 'v1',
                 'slots': 3,
@@ -115,6 +120,7 @@
                 'cold_remaining_ms': 0,
                 'db_role': 'primary' if instance.is_primary else 'replica',
                 'seq': 1,
+                'born': instance.born_ms,
             },
         )
 
--- a/catkincrank/standins/linegroup.py
+++ b/catkincrank/standins/linegroup.py
@@ -10,7 +10,13 @@
 from catkincrank.gateway.promoter import Promoter, PromotionError
 from catkincrank.gateway.roster import EndpointEntry
 
-__all__ = ('LineGroup', 'LineInstance', 'MemoryPromoter', 'Promotion')
+__all__ = (
+    'LineGroup',
+    'LineInstance',
+    'MemoryPromoter',
+    'Promotion',
+    'Turn',
+)
 
 _LEAST = Position(1, 0)
 _WORK_S = 0.005
@@ -31,6 +37,7 @@
         lost_answers: How many statements run without an answer from now on.
         work_s: How long a statement takes, in seconds.
         ran: Identifiers of the statements that ran, in order.
+        born_ms: When it started, in Unix milliseconds; 0 if not told.
     """
 
     endpoint_id: str
@@ -42,6 +49,7 @@
     lost_answers: int = 0
     work_s: float = _WORK_S
     ran: list[bytes] = field(default_factory=list)
+    born_ms: int = 0
 
     @property
     def position(self) -> Position:
@@ -49,6 +57,22 @@
         return self.log[-1][1] if self.log else _LEAST
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """A change of primary.
+
+    Attributes:
+        at: When it took effect, in seconds.
+        term: Term that began.
+        position: Position at which its log began.
+    """
+
+    at: float
+    term: int
+    position: Position
+
+
 @final
 class LineGroup:
     """Endpoints of one service.
@@ -60,6 +84,7 @@
 
     Attributes:
         leader: The primary of the newest term, even if it was demoted.
+        turns: Changes of primary so far.
     """
 
     def __init__(
@@ -73,6 +98,7 @@
         self.instances = {name: LineInstance(name) for name in names}
         self.leader = self.instances[names[0]]
         self.leader.is_primary = True
+        self.turns: list[Turn] = []
 
     def list_entries(self) -> list[EndpointEntry]:
         """Return the registrations of the endpoints."""
@@ -118,9 +144,18 @@
         chosen.term = self.leader.term + 1
         chosen.is_primary = True
         self.leader = chosen
+        now = anyio.current_time()
+        self.turns.append(Turn(now, chosen.term, chosen.position))
         for one in self.instances.values():
             one.log = one.log[: len(chosen.log)]
 
+    def restart(self, instance: LineInstance, born_ms: int) -> None:
+        """Start an endpoint anew; it knows nothing of before."""
+        instance.is_primary = False
+        instance.is_up = True
+        instance.log = []
+        instance.born_ms = born_ms
+
     def describe(self, instance: LineInstance) -> EndpointState:
         """Return what an endpoint says of its part in the group."""
         self.catch_up()
--- a/catkincrank/standins/linelink.py
+++ b/catkincrank/standins/linelink.py
@@ -34,15 +34,23 @@
         values: Session values on the connection.
         is_in_transaction: Whether a transaction was open.
         request_id: Identifier of the request.
+        at: When it ran, in seconds.
+        position: Position of the endpoint's log once it had run.
+        term: Term of the endpoint.
+        transaction: Number of the transaction on the connection; 0 outside.
         was_primary: Whether the endpoint led when it ran.
     """
 
     __slots__ = (
+        'at',
         'endpoint_id',
         'is_in_transaction',
         'link',
+        'position',
         'request_id',
+        'term',
         'text',
+        'transaction',
         'values',
         'was_primary',
     )
@@ -55,6 +63,10 @@
         self.was_primary = link.instance.is_primary
         self.values = dict(link.set_values)
         self.is_in_transaction = link.status is TransactionStatus.OPEN
+        self.transaction = link.transactions if self.is_in_transaction else 0
+        self.at = anyio.current_time()
+        self.position = link.instance.position
+        self.term = link.instance.term
 
 
 @final
@@ -65,6 +77,9 @@
         group: Its group.
         instance: The endpoint.
         runs: Where statements are recorded.
+
+    Attributes:
+        transactions: How many transactions began on it.
     """
 
     def __init__(
@@ -82,6 +97,7 @@
         self._status = TransactionStatus.IDLE
         self._has_written = False
         self._is_read_only = False
+        self.transactions = 0
 
     @property
     def status(self) -> TransactionStatus:
@@ -100,8 +116,10 @@
         if failure is not None:
             return self._refuse(failure)
         self.instance.ran.append(statement.request_id)
-        self._runs.append(Run(self, statement))
+        run = Run(self, statement)
+        self._runs.append(run)
         self._apply(statement, alias)
+        run.position = self.instance.position
         if self.instance.lost_answers:
             self.instance.lost_answers -= 1
             raise EndpointError('answer lost', was_sent=True)
@@ -120,6 +138,7 @@
         if after is not None and self.instance.position < after:
             return self._refuse(Failure.LAGGING)
         self._status = TransactionStatus.OPEN
+        self.transactions += 1
         self._is_read_only = is_read_only
         return self._reply()
 
@@ -183,6 +202,8 @@
         after: Position | None,
         alias: bytes,
     ) -> Failure | None:
+        if self._status is TransactionStatus.FAILED:
+            return Failure.ABORTED
         if after is not None and self.instance.position < after:
             return Failure.LAGGING
         may_write = self.instance.is_primary and not self._is_read_only
