Recover groups whose endpoints all take themselves for primaries

Cause: a primary that was silent while it was replaced is never told; if it comes back it still takes itself for the primary. The group stayed without a primary for good.

Change: a primary is demoted only if another endpoint can take over; without one, primaries of older terms are demoted and chosen at the next try; and the present primary stays if nobody can have been promoted since the mark. What selects the successor moved to gateway/selection.py.

--- a/catkincrank/gateway/fleetrecords.py
+++ b/catkincrank/gateway/fleetrecords.py
@@ -96,6 +96,10 @@
         """Return the record while the primary is being replaced."""
         return msgspec.structs.replace(self, is_replacing=True)
 
+    def keep(self) -> 'GroupRecord':
+        """Return the record if the primary stays after all."""
+        return msgspec.structs.replace(self, is_replacing=False)
+
     def follow(
         self,
         primary: str,
--- a/catkincrank/gateway/succession.py
+++ b/catkincrank/gateway/succession.py
@@ -22,16 +22,13 @@
 from catkincrank.gateway.revocation import Revocation
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.gateway.rowstore import Condition, RowStore
+from catkincrank.gateway.selection import Candidate, Selection
 from catkincrank.gateway.suspicion import Cause
 from catkincrank.gateway.tenure import Tenure
 from catkincrank.logs import log_event
 
 __all__ = ('Succession',)
 
-_Candidate = tuple[EndpointEntry, EndpointState]
-# How long a replica may take to receive what a leaving primary has.
-_CATCH_UP_LIMIT_S = 1.0
-_CATCH_UP_STEP_S = 0.03
 # A promotion takes up to a second at the users.
 _LEAD_LIMIT_S = 3.0
 _LEAD_STEP_S = 0.04
@@ -63,7 +60,9 @@
         '_promoter',
         '_relay',
         '_revocation',
+        '_selection',
         '_store',
+        '_untouched',
         '_tenure',
     )
 
@@ -86,6 +85,9 @@
         self._inspector = inspector
         self._promoter = promoter
         self._relay = relay
+        self._selection = Selection(groups, inspector)
+        # Versions of the marks after which nobody can have been promoted.
+        self._untouched: dict[str, int] = {}
 
     async def record_first(self, service: str) -> None:
         """Record the primary of a group that has no row yet."""
@@ -122,7 +124,8 @@
         await self._fence(record, marked)
         if not await self._tenure.wait_settled():
             return
-        chosen = await self._choose(record, cause)
+        may_keep = self._untouched.get(service) == marked
+        chosen = await self._selection.choose(record, cause, may_keep=may_keep)
         if chosen is None:
             await anyio.sleep(_RETRY_PAUSE_S)
             return
@@ -146,12 +149,19 @@
         A group that is marked already is marked again: a write that named a
         successor, and got no answer, may be done yet, unless the row changes.
         """
-        return await self._write(record.replace(), version)
+        is_untouched = (
+            not record.is_replacing
+            or self._untouched.get(record.service) == version
+        )
+        marked = await self._write(record.replace(), version)
+        if marked and is_untouched:
+            self._untouched[record.service] = marked
+        return marked
 
     async def _fence(self, record: GroupRecord, marked: int) -> None:
         """Return once nobody acts for the old primary any more."""
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._demote, record)
+            tasks.start_soon(self._selection.demote, record)
             await self._revocation.revoke_group(
                 record.service,
                 marked,
@@ -160,89 +170,16 @@
             # Grants have ended: the old primary's answer decides nothing more.
             tasks.cancel_scope.cancel()
 
-    async def _demote(self, record: GroupRecord) -> EndpointState | None:
-        entry = self._groups.roster.find(record.primary)
-        if entry is None:
-            return None
-        state = await self._inspector.ask(
-            entry,
-            lambda link: link.demote(record.term + 1),
-        )
-        log_event(
-            'primary_demoted',
-            service=record.service,
-            endpoint=record.primary,
-            confirmed=state is not None and not state.is_primary,
-        )
-        return state
-
-    async def _choose(
-        self,
-        record: GroupRecord,
-        cause: Cause,
-    ) -> _Candidate | None:
-        """Return the endpoint that takes over."""
-        found = await self._ask_all(record.service)
-        leading = [
-            one
-            for one in found
-            if one[1].is_primary and one[1].term > record.term
-        ]
-        if leading:
-            return max(leading, key=_term_of)
-        usable = [one for one in found if _may_lead(one)]
-        others = [one for one in usable if one[0].endpoint_id != record.primary]
-        usable = others or usable
-        if not usable:
-            log_event('no_successor', 'WARNING', service=record.service)
-            return None
-        if cause is Cause.LEAVING:
-            return await self._catch_up(record, usable, found)
-        return max(usable, key=_received_of)
-
-    async def _catch_up(
-        self,
-        record: GroupRecord,
-        usable: list[_Candidate],
-        found: list[_Candidate],
-    ) -> _Candidate:
-        """Wait until a replica has what the old primary had."""
-        goal = max(state.received for _, state in found)
-        ends_at = anyio.current_time() + _CATCH_UP_LIMIT_S
-        best = max(usable, key=_received_of)
-        while best[1].received < goal and anyio.current_time() < ends_at:
-            await anyio.sleep(_CATCH_UP_STEP_S)
-            found = await self._ask_all(record.service)
-            again = [
-                one
-                for one in found
-                if _may_lead(one) and one[0].endpoint_id != record.primary
-            ]
-            best = max(again, key=_received_of, default=best)
-        return best
-
-    async def _ask_all(self, service: str) -> list[_Candidate]:
-        found: list[_Candidate] = []
-
-        async def ask(entry: EndpointEntry) -> None:  # noqa: WPS430
-            state = await self._inspector.ask(entry)
-            if state is not None:
-                found.append((entry, state))
-
-        async with anyio.create_task_group() as tasks:
-            for entry in self._groups.roster.of_service(service):
-                tasks.start_soon(ask, entry)
-        return found
-
     async def _appoint(
         self,
         record: GroupRecord,
-        chosen: _Candidate,
-    ) -> _Candidate | None:
+        chosen: Candidate,
+    ) -> Candidate | None:
         """Promote an endpoint; return it once it leads."""
         entry, state = chosen
-        if state.is_primary and state.term > record.term:
+        if state.is_primary:
             return chosen
+        self._untouched.pop(record.service, None)
         if not await self._tenure.confirm():
             return None
         try:
@@ -267,8 +204,8 @@
     async def _await_lead(
         self,
         record: GroupRecord,
-        chosen: _Candidate,
-    ) -> _Candidate | None:
+        chosen: Candidate,
+    ) -> Candidate | None:
         entry = chosen[0]
         ends_at = anyio.current_time() + _LEAD_LIMIT_S
         while anyio.current_time() < ends_at:
@@ -285,12 +222,14 @@
         state: EndpointState,
     ) -> None:
         """Record the new primary, so that it is granted."""
-        following = record.follow(
-            entry.endpoint_id,
-            entry.born_ms,
-            state.term,
-            state.received,
-        )
+        following = record.keep()
+        if state.term != record.term:
+            following = record.follow(
+                entry.endpoint_id,
+                entry.born_ms,
+                state.term,
+                state.received,
+            )
         version, current = self._ledger.records[record.service]
         if current.term != record.term:
             return
@@ -358,16 +297,3 @@
 
 def _leads(state: EndpointState, record: GroupRecord) -> bool:
     return state.is_primary and state.term > record.term
-
-
-def _may_lead(candidate: _Candidate) -> bool:
-    entry, state = candidate
-    return not (entry.is_draining or state.is_primary)
-
-
-def _received_of(candidate: _Candidate) -> tuple:
-    return candidate[1].received
-
-
-def _term_of(candidate: _Candidate) -> int:
-    return candidate[1].term
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -172,6 +172,54 @@
     _check_promotions(_run(scenario))
 
 
+def test_replaced_primaries_that_nobody_demoted_take_over():
+    """Found by seed 44 of the soak: each endpoint took itself for one."""
+
+    async def scenario(fleet):
+        for name in ('b', 'c'):
+            fleet.group.instances[name].is_primary = True
+            fleet.group.instances[name].term = 0
+        await _lose_primary(fleet)
+        began = anyio.current_time()
+        while set(fleet.granted.values()) - {'b', 'c'}:
+            await anyio.sleep(0.05)
+            assert anyio.current_time() < began + GAP_LIMIT_S, fleet.granted
+
+    _check_promotions(_run(scenario))
+
+
+def test_a_primary_without_a_successor_leads_again_when_it_answers():
+    """The platform does nothing when its present primary is promoted."""
+
+    async def scenario(fleet):
+        for name in ('a', 'b', 'c'):
+            fleet.group.instances[name].is_up = False
+        await anyio.sleep(5)
+        assert set(fleet.granted.values()) == {None}
+        fleet.group.instances['a'].is_up = True
+        await fleet.settle('a', GAP_LIMIT_S)
+
+    fleet = _run(scenario)
+    assert not fleet.promotions
+    _check_promotions(fleet)
+
+
+def test_a_primary_is_not_kept_once_another_may_have_been_promoted():
+    async def scenario(fleet):
+        fleet.group.promote_s = 30
+        await _lose_primary(fleet)
+        await anyio.sleep(4)
+        assert fleet.promotions
+        for name in ('b', 'c'):
+            fleet.group.instances[name].is_up = False
+        fleet.group.instances['a'].is_up = True
+        for _ in range(100):
+            await anyio.sleep(0.1)
+            assert 'a' not in set(fleet.granted.values())
+
+    _check_promotions(_run(scenario))
+
+
 @pytest.mark.parametrize('outage_s', [1, 4, 5])
 def test_grants_outlast_an_outage_of_the_store(outage_s):
     async def scenario(fleet):
