Let commits wait for a grant that has lapsed for a moment

Cause: an answer that came while no grant held was reported as in doubt at once. Grants lapse for some tenths of a second when the duty changes hands or a reading is slow, and then go on with the same term.

Change: the answer waits for up to 1 s, within the caller's time, for a grant of the same term; a grant of a later term ends the wait at once. What is acknowledged still has a grant at that moment, so a replaced primary's commit cannot be.

Figures: test_gateway_execution.py, failing before.

--- a/catkincrank/gateway/execution.py
+++ b/catkincrank/gateway/execution.py
@@ -84,7 +84,7 @@
                 await self._placement.pause(need)
                 continue
             if reply.refusal is None:
-                return self._accept(session, need, choice, reply)
+                return await self._accept(session, need, choice, reply)
             if not self._placement.may_move(reply.refusal.failure):
                 return reply
             self._tries.labels(reply.refusal.failure.name.lower()).inc()
@@ -157,7 +157,7 @@
             )
         need.exclude(choice.entry.endpoint_id, Failure.OVERLOADED)
 
-    def _accept(
+    async def _accept(
         self,
         session: Session,
         need: Need,
@@ -173,5 +173,7 @@
             self._count_read(need, choice)
             return reply
         service = need.route.service
-        self._passer.acknowledge(session, service, choice.term, reply)
+        await self._passer.acknowledge(
+            session, service, choice.term, reply, need.deadline
+        )
         return reply
--- a/catkincrank/gateway/groups.py
+++ b/catkincrank/gateway/groups.py
@@ -79,6 +79,22 @@
         with anyio.CancelScope(deadline=until):
             await changed.wait()
 
+    async def regain(self, service: str, term: int, until: float) -> bool:
+        """Return whether a grant for a term holds, or soon does again.
+
+        A grant lapses with a slow reading of the store, or when the duty
+        changes hands; the next reading tells whether the term goes on.
+        """
+        while True:
+            now = anyio.current_time()
+            evidence = self.evidence(service)
+            if evidence.holds(term, now):
+                return True
+            is_over = evidence.grant is not None and evidence.grant.term > term
+            if is_over or now >= until:
+                return False
+            await self.wait(min(until, now + _LOOK_S))
+
     def _has_left(self, entry: EndpointEntry, now: float) -> bool:
         since = self._leaving_since.get(entry.endpoint_id)
         return since is not None and now >= since + _LEAVING_USE_S
@@ -87,3 +103,5 @@
 # A leaving primary is used until its successor leads, but no longer than this:
 # the users allow 7 s from the store's word, which took up to a second to come.
 _LEAVING_USE_S = 5.0
+# How often whoever waits for a grant looks again.
+_LOOK_S = 0.05
--- a/catkincrank/gateway/passing.py
+++ b/catkincrank/gateway/passing.py
@@ -15,6 +15,10 @@
 
 __all__ = ('Passer',)
 
+# A commit that is done waits this long for a grant that has lapsed: a reading
+# of the store or of a peer comes twice a second.
+_REGAIN_LIMIT_S = 1.0
+
 
 @final
 class Passer:
@@ -75,12 +79,13 @@
         self._learn(borrowed, reply, sent_at)
         return reply
 
-    def acknowledge(
+    async def acknowledge(
         self,
         session: Session,
         service: str,
         term: int,
         reply: Reply,
+        deadline: float,
     ) -> None:
         """Take in a commit that the caller may be told of.
 
@@ -89,12 +94,13 @@
             service: Group that ran the commit.
             term: Term of the primary that it was sent to.
             reply: The primary's answer.
+            deadline: Until when the caller waits.
 
         Raises:
             StatementFailed: The primary may have been replaced meanwhile.
         """
-        evidence = self._groups.evidence(service)
-        if not evidence.holds(term, anyio.current_time()):
+        until = min(deadline, anyio.current_time() + _REGAIN_LIMIT_S)
+        if not await self._groups.regain(service, term, until):
             raise StatementFailed(
                 Failure.IN_DOUBT,
                 'the grant of the primary ended before its answer came',
--- a/catkincrank/gateway/transactions.py
+++ b/catkincrank/gateway/transactions.py
@@ -162,8 +162,8 @@
         if reply.refusal is not None:
             return _with_status(reply, TransactionStatus.IDLE)
         if has_written:
-            self._passer.acknowledge(
-                session, route.service, transaction.term, reply
+            await self._passer.acknowledge(
+                session, route.service, transaction.term, reply, deadline
             )
         if reply.status is TransactionStatus.IDLE:
             transaction.borrowed.give_back()
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -250,3 +250,36 @@
     outcomes, log = _run(scenario)
     assert outcomes == [Failure.MALFORMED, 'ok']
     assert not log
+
+
+@pytest.mark.parametrize(
+    ('name', 'term', 'outcome', 'longest_s'),
+    [('a', 1, 'ok', 0.7), ('b', 2, Failure.IN_DOUBT, 0.7)],
+)
+@pytest.mark.parametrize(
+    'texts',
+    [[b'WRITE k v'], [b'BEGIN', b'WRITE k v', b'COMMIT']],
+)
+def test_a_commit_waits_for_a_grant_that_lapsed(
+    texts, name, term, outcome, longest_s
+):
+    """Seed 114 of the soak: the duty changed hands as a write was answered."""
+
+    async def renew(path):
+        await anyio.sleep(0.6)
+        path.grant(name, term)
+
+    async def scenario(path):
+        session = path.open('strong')
+        await path.run_script(session, *texts[:-1])
+        path.group.instances['a'].work_s = 0.5
+        path.grant(length_s=0.3)
+        began = anyio.current_time()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(renew, path)
+            reply = await path.ask(session, texts[-1])
+        return _outcome(reply), anyio.current_time() - began
+
+    found, took_s = _run(scenario)
+    assert found == outcome
+    assert took_s < longest_s
