Give slow endpoints the time that they take

Cause: a read that was given up told nobody how long it had waited, so the next one was given up after the same 0.3 s, and ran again: under load each read of a slow group cost the endpoint its work two and three times.

Change: a read that was given up counts as an answer of that length; what only the primary can run gets at least half of its time there.

Figures: test_gateway_execution.py, three cases that failed first.

--- a/catkincrank/gateway/execution.py
+++ b/catkincrank/gateway/execution.py
@@ -104,12 +104,15 @@
         limit = need.deadline
         if not need.is_write:
             limit = self._placement.limit_try(need, choice.entry)
+        began_at = anyio.current_time()
         with anyio.CancelScope(deadline=limit):
             await self._adopt(session, statement, need, choice, borrowed)
             was_sent = True
             reply = await self._passer.run(borrowed, session, statement, after)
             borrowed.give_back()
             return reply
+        took_s = anyio.current_time() - began_at
+        self._placement.note_late(choice.entry, took_s)
         raise EndpointError('no answer in time', was_sent=was_sent)
 
     def _count_read(self, need: Need, choice: Choice) -> None:
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -40,6 +40,9 @@
 # tenth of them take five times the mean, and each costs the endpoint its work.
 _TRY_FACTOR = 6
 _LEAST_TRY_S = 0.3
+# What only the primary can run is tried there once more at most, on another
+# connection, in case the first one was dead.
+_PRIMARY_TRY_SHARE = 0.5
 # How often a statement that waits for a primary looks again.
 _LOOK_S = 0.05
 # Replies that say that the same statement may run at another endpoint or later.
@@ -153,8 +156,14 @@
         now = anyio.current_time()
         usual_s = self._latencies.expect(entry, now)
         limit_s = max(_LEAST_TRY_S, _TRY_FACTOR * usual_s)
+        if need.needs_primary:
+            limit_s = max(limit_s, (need.deadline - now) * _PRIMARY_TRY_SHARE)
         return min(need.deadline, now + limit_s)
 
+    def note_late(self, entry: EndpointEntry, took_s: float) -> None:
+        """Take in that an endpoint did not answer within a time."""
+        self._latencies.note(entry.endpoint_id, took_s, anyio.current_time())
+
     def may_move(self, failure: Failure) -> bool:
         """Return whether a refused statement may be tried elsewhere."""
         return failure in _MOVABLE
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -283,3 +283,24 @@
     found, took_s = _run(scenario)
     assert found == outcome
     assert took_s < longest_s
+
+
+@pytest.mark.parametrize('database', ['strong', 'own', 'bounded'])
+def test_slow_endpoints_are_given_the_time_they_take(database):
+    """Reads of an overloaded group ran two and three times each.
+
+    Each try was given up after a fixed time and never told how long it took.
+    """
+
+    async def scenario(path):
+        for instance in path.group.instances.values():
+            instance.work_s = 0.32
+        path.evidence.add_sample(anyio.current_time(), Position(1, 0))
+        for _ in range(15):
+            await path.ask(path.open(database), b'READ k')
+            path.evidence.add_sample(anyio.current_time(), Position(1, 0))
+        path.runs.clear()
+        reply = await path.ask(path.open(database), b'READ k')
+        return _outcome(reply), len(path.runs)
+
+    assert _run(scenario) == ('ok', 1)
