Carry statements wherever gateways outnumber an endpoint's queue

Cause: 74 gateways with a link each press on endpoints that run 2 statements, queue 16 and refuse the rest; each refusal is tried again.

Change: the number of carriers and links follows what an endpoint can have in hand (eight for each slot), not its connections alone; links that rest in open transactions do not count as busy (gateway/parking.py), up to the share of connections; a full queue at the carrier is told to the caller at once; only a carrier without any answer for 0.8 s, or that resets or leaves, is avoided.

Ruled out: a limiter beside the pool, which has neither priorities nor an estimate of the wait.

--- a/catkincrank/gateway/carriage.py
+++ b/catkincrank/gateway/carriage.py
@@ -7,7 +7,7 @@
 import anyio
 
 from catkincrank.endpoint import TransactionStatus
-from catkincrank.errors import EndpointError
+from catkincrank.errors import CatkincrankError, EndpointError
 from catkincrank.gateway.carriagemessages import (
     CarryReply,
     CarryRequest,
@@ -19,9 +19,15 @@
 from catkincrank.gateway.reply import Reply
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.gateway.statement import Kind, Statement
+from catkincrank.metrics import Metrics
 from catkincrank.verdict import RequestError
 
-__all__ = ('Carriage', 'CarriedSession')
+__all__ = ('Carriage', 'CarriageDeclinedError', 'CarriedSession')
+
+
+@final
+class CarriageDeclinedError(CatkincrankError):
+    """This process does not carry a statement; another one may."""
 
 
 @final
@@ -31,19 +37,30 @@
     Args:
         groups: Knows the endpoints.
         pools: Links to them.
+        metrics: Metrics of the process.
 
     Attributes:
         busy: Sessions that hold a link.
         is_leaving: Whether no new statements are taken.
     """
 
-    __slots__ = ('_groups', '_pools', 'busy', 'is_leaving')
+    __slots__ = ('_groups', '_pools', '_statements', 'busy', 'is_leaving')
 
-    def __init__(self, groups: Groups, pools: LinkPools) -> None:
+    def __init__(
+        self,
+        groups: Groups,
+        pools: LinkPools,
+        metrics: Metrics,
+    ) -> None:
         self._groups = groups
         self._pools = pools
         self.busy: set[CarriedSession] = set()
         self.is_leaving = False
+        self._statements = metrics.counter(
+            'carried_statements',
+            'Statements for callers of other processes, by outcome.',
+            ('outcome',),
+        )
 
     def open(self) -> 'CarriedSession':
         """Return what serves one connection of another process."""
@@ -53,7 +70,7 @@
         """Return the endpoint that others know by the same address and start.
 
         Raises:
-            EndpointError: This process does not know it.
+            CarriageDeclinedError: This process does not know it.
         """
         entry = self._groups.roster.find(wanted.endpoint)
         if entry is not None:
@@ -66,7 +83,11 @@
             )
             if known == wanted:
                 return entry
-        raise EndpointError('unknown endpoint', was_sent=False)
+        raise CarriageDeclinedError('unknown endpoint')
+
+    def count(self, answer: CarryReply) -> None:
+        """Count a statement by what came of it."""
+        self._statements.labels(_name_outcome(answer)).inc()
 
     async def borrow(
         self,
@@ -76,19 +97,18 @@
         """Return a link for a statement.
 
         Raises:
+            CarriageDeclinedError: This process leaves.
             EndpointError: There will be none; nothing ran.
+            RequestError: Too many statements wait already.
         """
         if self.is_leaving:
-            raise EndpointError('this process leaves', was_sent=False)
+            raise CarriageDeclinedError('this process leaves')
         claim = Claim(
             request.route,
             request.priority,
             anyio.current_time() + request.limit_s,
         )
-        try:
-            return await self._pools.borrow(entry, claim)
-        except RequestError as error:
-            raise EndpointError(str(error), was_sent=False) from None
+        return await self._pools.borrow(entry, claim)
 
 
 @final
@@ -108,6 +128,18 @@
 
     async def answer(self, request: CarryRequest) -> CarryReply:
         """Run a statement; say whether it may have run if that fails."""
+        answer = await self._answer(request)
+        self._carriage.count(answer)
+        return answer
+
+    def close(self) -> None:
+        """Close the link that is held; what is open on it is rolled back."""
+        self._carriage.busy.discard(self)
+        if self._borrowed is not None:
+            self._borrowed.discard(is_lost=True)
+            self._borrowed = None
+
+    async def _answer(self, request: CarryRequest) -> CarryReply:
         self._carriage.busy.add(self)
         was_sent = False
         try:
@@ -118,6 +150,14 @@
                 reply = await _act(borrowed.link, request)
                 self._release(reply)
                 return _encode(reply)
+        except (CarriageDeclinedError, RequestError) as refusal:
+            self.close()
+            is_full = isinstance(refusal, RequestError)
+            return CarryReply(
+                error=str(refusal),
+                is_full=is_full,
+                is_declined=not is_full,
+            )
         except EndpointError as error:
             self.close()
             is_doubt = was_sent and error.was_sent
@@ -128,13 +168,6 @@
         self.close()
         return CarryReply(error='no answer in time', was_sent=was_sent)
 
-    def close(self) -> None:
-        """Close the link that is held; what is open on it is rolled back."""
-        self._carriage.busy.discard(self)
-        if self._borrowed is not None:
-            self._borrowed.discard(is_lost=True)
-            self._borrowed = None
-
     async def _hold(self, request: CarryRequest) -> BorrowedLink:
         if self._borrowed is None:
             if request.action == 'roll_back':
@@ -144,14 +177,17 @@
             if self._entry is None:
                 raise EndpointError('no destination', was_sent=False)
             self._borrowed = await self._carriage.borrow(self._entry, request)
+        self._borrowed.unpark()
         return self._borrowed
 
     def _release(self, reply: Reply) -> None:
         """Return the link unless a transaction is open on it."""
-        if reply.status is TransactionStatus.IDLE:
-            self._borrowed.give_back()
-            self._borrowed = None
-            self._carriage.busy.discard(self)
+        if reply.status is not TransactionStatus.IDLE:
+            self._borrowed.park()
+            return
+        self._borrowed.give_back()
+        self._borrowed = None
+        self._carriage.busy.discard(self)
 
 
 async def _adopt(link: EndpointLink, request: CarryRequest) -> None:
@@ -227,3 +263,14 @@
         reply.status.value,
         reply.position,
     )
+
+
+def _name_outcome(answer: CarryReply) -> str:
+    """Return what came of a statement, for the metric."""
+    if not answer.error:
+        return answer.failure.lower() or 'done'
+    if answer.is_full:
+        return 'full'
+    if answer.is_declined:
+        return 'declined'
+    return 'in_doubt' if answer.was_sent else 'not_run'
--- a/catkincrank/gateway/carriagemessages.py
+++ b/catkincrank/gateway/carriagemessages.py
@@ -93,6 +93,8 @@
         position: Position of the endpoint's log afterwards, if it said.
         error: Why no whole answer came; empty if one did.
         was_sent: Whether the endpoint may have run it all the same.
+        is_full: Whether too many statements wait for the endpoint.
+        is_declined: Whether another carrier may take it.
     """
 
     rows: tuple[bytes, ...] = ()
@@ -103,3 +105,5 @@
     position: Position | None = None
     error: str = ''
     was_sent: bool = False
+    is_full: bool = False
+    is_declined: bool = False
--- a/catkincrank/gateway/carriers.py
+++ b/catkincrank/gateway/carriers.py
@@ -1,8 +1,10 @@
 """Chooses which processes carry statements to endpoints with few connections.
 
-Where an endpoint takes fewer connections than there are processes, only some
-processes connect to it, and keep their connections; the others hand them their
-statements. Taking turns instead costs a new connection for most statements.
+Where processes outnumber the connections that an endpoint takes, or the
+statements that it can have in hand, only some processes connect to it, and keep
+their connections; the others hand them their statements. Taking turns instead
+costs a new connection for most statements, and a connection for each process
+lets them all press at once on an endpoint that refuses what it cannot queue.
 """
 
 from collections.abc import Mapping
@@ -11,6 +13,7 @@
 
 from catkincrank.gateway.fleetrecords import MemberRecord
 from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.logs import log_event
 from catkincrank.relaytree import rank_names
 
 __all__ = ('Carriers', 'Share', 'share_connections')
@@ -18,12 +21,16 @@
 # Connections that no share includes: questions of the holder, and members
 # that the table does not name yet.
 _RESERVED = 2
-# An endpoint runs a few statements at once; with this many connections a
-# carrier keeps a waiting one busy while another waits in a transaction.
+# Statements that an endpoint queues for each that it runs, before it refuses.
+_QUEUED_PER_SLOT = 8
+# A carrier shares its links fairly among callers, which needs several.
 _LINKS_PER_CARRIER = 6
 # A carrier that could not be reached, or leaves, is asked again after this
 # time, in seconds: as long as its row may outlive it.
 _AVOID_S = 2.0
+# A carrier says when an endpoint is late, and answers several times a second;
+# one without any answer for this long, in seconds, is taken for gone.
+_SILENCE_S = 0.8
 
 
 @final
@@ -32,11 +39,13 @@
     """Connections that this process may hold to an endpoint.
 
     Attributes:
-        limit: How many.
+        limit: How many may have statements in hand.
+        most: How many, with those that rest in open transactions.
         is_borrowed: Whether others need them, so that none is kept idle.
     """
 
     limit: int
+    most: int
     is_borrowed: bool = False
 
 
@@ -50,6 +59,7 @@
     """
 
     __slots__ = (
+        '_answered_at',
         '_avoided',
         '_connections',
         '_me',
@@ -65,6 +75,7 @@
         self._connections: dict[str, int] = {}
         self._plans: dict[str, list[MemberRecord]] = {}
         self._avoided: dict[str, float] = {}
+        self._answered_at: dict[str, float] = {}
 
     def configure(
         self,
@@ -85,14 +96,17 @@
 
     def share(self, entry: EndpointEntry) -> Share:
         """Return the connections that this process may hold."""
-        usable = self._connections.get(entry.service, 0) - _RESERVED
+        usable = self._count_usable(entry)
         if not self._is_scarce(entry):
             members = max(1, len(self._members))
-            return Share(share_connections(usable + _RESERVED, members))
+            count = share_connections(usable + _RESERVED, members)
+            return Share(count, count)
         carriers = self._list_carriers(entry)
         if self._me not in carriers:
-            return Share(1, is_borrowed=True)
-        return Share(max(1, usable // len(carriers)))
+            return Share(1, 1, is_borrowed=True)
+        most = max(1, usable // len(carriers))
+        in_hand = -(-self._count_in_hand(entry) // len(carriers))
+        return Share(min(most, in_hand), most)
 
     def find(self, entry: EndpointEntry, now: float) -> MemberRecord | None:
         """Return who carries statements; ``None`` if this process connects.
@@ -114,20 +128,37 @@
         key = self._me.name + entry.endpoint_id
         return usable[rank_names(key, usable)[0]]
 
-    def avoid(self, carrier: MemberRecord, now: float) -> None:
+    def avoid(self, carrier: MemberRecord, now: float, cause: str) -> None:
         """Do without a carrier for a while."""
+        if self._avoided.get(carrier.name, 0) <= now:
+            log_event('carrier_avoided', carrier=carrier.name, cause=cause)
         self._avoided[carrier.name] = now + _AVOID_S
 
+    def note_answer(self, carrier: MemberRecord, now: float) -> None:
+        """Note that a carrier has answered, whatever it said."""
+        self._answered_at[carrier.name] = now
+
+    def note_silence(self, carrier: MemberRecord, now: float) -> None:
+        """Note that a question was given up; avoid who answers nothing."""
+        answered_at = self._answered_at.setdefault(carrier.name, now)
+        if now > answered_at + _SILENCE_S:
+            self.avoid(carrier, now, 'no answer')
+
     def _is_scarce(self, entry: EndpointEntry) -> bool:
-        usable = self._connections.get(entry.service, 0) - _RESERVED
-        return usable < len(self._members)
+        return self._count_in_hand(entry) < len(self._members)
+
+    def _count_usable(self, entry: EndpointEntry) -> int:
+        return self._connections.get(entry.service, 0) - _RESERVED
+
+    def _count_in_hand(self, entry: EndpointEntry) -> int:
+        """Return how many statements an endpoint can have in hand."""
+        return min(self._count_usable(entry), entry.slots * _QUEUED_PER_SLOT)
 
     def _list_carriers(self, entry: EndpointEntry) -> list[MemberRecord]:
         """Return an endpoint's carriers, which are close to it."""
         plan = self._plans.get(entry.endpoint_id)
         if plan is None:
-            usable = self._connections.get(entry.service, 0) - _RESERVED
-            count = max(1, usable // _LINKS_PER_CARRIER)
+            count = max(1, self._count_in_hand(entry) // _LINKS_PER_CARRIER)
             close = {one.name: one for one in self._list_close(entry)}
             names = rank_names(entry.endpoint_id, close)[:count]
             plan = [close[name] for name in names]
--- a/catkincrank/gateway/daemon.py
+++ b/catkincrank/gateway/daemon.py
@@ -62,7 +62,7 @@
             options.regions,
             tasks,
         )
-        self.carriage = Carriage(self.groups, self.lending.own)
+        self.carriage = Carriage(self.groups, self.lending.own, self.metrics)
         self.front = make_front(
             options, adapter, self.groups, self.lending, self.metrics
         )
--- a/catkincrank/gateway/lending.py
+++ b/catkincrank/gateway/lending.py
@@ -105,8 +105,8 @@
 
     def _share(self, entry: EndpointEntry, *, is_new: bool) -> Share:
         share = self._carriers.share(entry)
-        return Share(1, share.is_borrowed) if is_new else share
+        return Share(1, 1, share.is_borrowed) if is_new else share
 
 
 def _share_remote(_entry: EndpointEntry) -> Share:
-    return Share(_REMOTE_LIMIT)
+    return Share(_REMOTE_LIMIT, _REMOTE_LIMIT)
--- a/catkincrank/gateway/linkpools.py
+++ b/catkincrank/gateway/linkpools.py
@@ -14,6 +14,7 @@
 from catkincrank.fairness import QueueEntry
 from catkincrank.gateway.carriers import Share
 from catkincrank.gateway.link import EndpointLink, LinkDriver
+from catkincrank.gateway.parking import Parking
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.pool import EndpointPool, PoolOptions, PoolState
 from catkincrank.poolrunner import PoolRunner
@@ -74,30 +75,57 @@
         entry: The endpoint that it leads to.
         runner: Its pool.
         connection_id: Number of the link in the pool.
+        parking: Links of the pool that rest in transactions.
     """
 
-    __slots__ = ('_connection_id', '_runner', 'entry', 'is_held', 'link')
+    __slots__ = (
+        '_connection_id',
+        '_is_parked',
+        '_parking',
+        '_runner',
+        'entry',
+        'is_held',
+        'link',
+    )
 
     def __init__(
         self,
         entry: EndpointEntry,
         runner: PoolRunner,
         connection_id: int,
+        parking: Parking,
     ) -> None:
         self.entry = entry
+        self._parking = parking
+        self._is_parked = False
         self._runner = runner
         self._connection_id = connection_id
         self.link: EndpointLink = runner.connection(connection_id)
         self.is_held = True
 
+    def park(self) -> None:
+        """Note that nothing runs on the link until its caller goes on."""
+        if self.is_held and not self._is_parked:
+            self._is_parked = True
+            limit = self._parking.park(anyio.current_time())
+            self._runner.change_limit(limit)
+
+    def unpark(self) -> None:
+        """Note that something runs on the link again."""
+        if self._is_parked:
+            self._is_parked = False
+            self._parking.unpark()
+
     def give_back(self) -> None:
         """Return the link; it serves others from now on."""
+        self.unpark()
         if self.is_held:
             self.is_held = False
             self._runner.give_back(self._connection_id)
 
     def discard(self, *, is_lost: bool = False) -> None:
         """Close the link, which must not serve anyone else."""
+        self.unpark()
         if self.is_held:
             self.is_held = False
             self._runner.discard(self._connection_id, is_lost=is_lost)
@@ -118,6 +146,7 @@
         '_driver',
         '_find_share',
         '_numbers',
+        '_parkings',
         '_runners',
         '_source',
         '_tasks',
@@ -135,6 +164,7 @@
         self._source = random.Random()
         self._numbers = itertools.count(1)
         self._runners: dict[EndpointKey, PoolRunner] = {}
+        self._parkings: dict[EndpointKey, Parking] = {}
         self._find_share: _FindShare = _share_one
 
     def configure(
@@ -154,12 +184,14 @@
             entry = known.get(key)
             if entry is not None:
                 share = find_share(entry)
-                runner.change_limit(share.limit)
+                self._parkings[key].share = share
                 runner.pool.change_options(_find_options(share))
                 continue
             runner.set_leaving(is_leaving=True)
             if not runner.pool.held:
                 self._runners.pop(key)
+                self._parkings.pop(key)
+        self._tend()
 
     async def borrow(
         self,
@@ -176,7 +208,8 @@
         while True:
             ticket = runner.ask(self._make_entry(entry, claim))
             number = await runner.wait(ticket)
-            borrowed = BorrowedLink(entry, runner, number)
+            parking = self._parkings[key_of(entry)]
+            borrowed = BorrowedLink(entry, runner, number, parking)
             if borrowed.link.is_alive:
                 return borrowed
             borrowed.discard(is_lost=True)
@@ -206,14 +239,19 @@
         """Tend the pools until cancelled."""
         while True:
             await anyio.sleep(_TICK_INTERVAL_S)
-            for runner in tuple(self._runners.values()):
-                runner.tick()
+            self._tend()
 
     async def close(self) -> None:
         """Close every link."""
         for runner in tuple(self._runners.values()):
             await runner.close()  # noqa: WPS476
 
+    def _tend(self) -> None:
+        now = anyio.current_time()
+        for key, runner in tuple(self._runners.items()):
+            runner.change_limit(self._parkings[key].limit(now))
+            runner.tick()
+
     def _make_entry(
         self,
         entry: EndpointEntry,
@@ -241,6 +279,7 @@
             )
             runner = PoolRunner(pool, partial(self._open, entry), self._tasks)
             self._runners[key] = runner
+            self._parkings[key] = Parking(share)
         return runner
 
     async def _open(self, entry: EndpointEntry, _login: str) -> EndpointLink:
@@ -263,7 +302,7 @@
 
 def _share_one(_entry: EndpointEntry) -> Share:
     """Return the share until the endpoints' connections are known."""
-    return Share(1)
+    return Share(1, 1)
 
 
 def _find_options(share: Share) -> PoolOptions:
--- a/catkincrank/gateway/remotelink.py
+++ b/catkincrank/gateway/remotelink.py
@@ -17,7 +17,7 @@
 from catkincrank.gateway.link import EndpointLink, EndpointState, LinkDriver
 from catkincrank.gateway.linkpools import Claim
 from catkincrank.gateway.position import Position
-from catkincrank.gateway.reply import Failure, Refusal, Reply
+from catkincrank.gateway.reply import Failure, Refusal, Reply, StatementFailed
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.gateway.statement import Kind, Prepared, Statement
 from catkincrank.links import Link, LinkClosedError, dial
@@ -196,20 +196,24 @@
             await self._link.send(request)
             answer = await self._link.receive()
         except _FAILURES as error:
-            self._avoid()
+            self._avoid(str(error))
             reason = 'carrier {0}: {1}'.format(self._carrier.name, error)
             raise EndpointError(reason, was_sent=True) from None
         except BaseException:
-            self._avoid()
+            now = anyio.current_time()
+            self._carriers.note_silence(self._carrier, now)
             raise
+        self._carriers.note_answer(self._carrier, anyio.current_time())
         if isinstance(answer, CarryReply):
             return answer
         raise EndpointError('unreadable answer', was_sent=True)
 
     def _take(self, answer: CarryReply) -> Reply:
+        if answer.is_full:
+            raise StatementFailed(Failure.OVERLOADED, answer.error)
         if answer.error:
-            if not answer.was_sent:
-                self._avoid()
+            if answer.is_declined:
+                self._avoid(answer.error)
             reason = 'carrier {0}: {1}'.format(self._carrier.name, answer.error)
             raise EndpointError(reason, was_sent=answer.was_sent)
         self._status = TransactionStatus(answer.status)
@@ -224,8 +228,8 @@
             answer.position,
         )
 
-    def _avoid(self) -> None:
-        self._carriers.avoid(self._carrier, anyio.current_time())
+    def _avoid(self, cause: str) -> None:
+        self._carriers.avoid(self._carrier, anyio.current_time(), cause)
 
 
 @final
@@ -256,7 +260,8 @@
                 application,
             )
         except LinkClosedError as error:
-            self._carriers.avoid(carrier, anyio.current_time())
+            now = anyio.current_time()
+            self._carriers.avoid(carrier, now, str(error))
             reason = 'carrier {0}: {1}'.format(carrier.name, error)
             raise EndpointError(reason, was_sent=False) from None
         return RemoteLink(link, entry, self._carriers, carrier)
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -255,4 +255,6 @@
   position @5 :CarriedPosition;
   error @6 :Text;
   wasSent @7 :Bool;
+  isFull @8 :Bool;
+  isDeclined @9 :Bool;
 }
