--- a/catkincrank/pool.py
+++ b/catkincrank/pool.py
@@ -254,7 +254,7 @@
         if pause > 0 and not self._supply.is_live:
             return _refuse(entry, RefusalCause.UNREACHABLE, pause)
         expected = self._expect_wait(entry)
-        if now + expected > entry.deadline:
+        if now + expected + self._hold_s > entry.deadline:
             return _refuse(entry, RefusalCause.OVERLOADED, expected)
         return None
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -126,6 +126,27 @@
     assert pool.waiting == waiting
 
 
+@pytest.mark.parametrize(
+    ('limit_s', 'expected'),
+    [
+        (0.3, [RefusalCause.OVERLOADED]),
+        (0.9, [RefusalCause.OVERLOADED]),
+        (2, []),
+    ],
+)
+def test_a_wait_must_leave_time_for_the_statement(limit_s, expected):
+    """On the heaviest days statements were granted what they could not use."""
+    pool = make_pool()
+    lend_all(pool)
+    now = 0
+    for number in range(60):
+        now += 1
+        pool.give_back(1, now)
+        pool.ask(entry(100 + number, now + 5), now)
+    actions = pool.ask(entry(3, now + limit_s), now)
+    assert [one.cause for one in actions] == expected
+
+
 def test_deadline_comes_while_waiting():
     pool = make_pool()
     lend_all(pool)
