Run reads elsewhere that an endpoint failed

Cause: a failed read went to the caller.

Change: a failed read that any replica may serve is tried at up to two others, and the endpoint counts as one that takes 0.5 s. What only the primary can run and writes are told to the caller as before.

Ruled out: asking such endpoints for their health, which is what lies.

--- a/catkincrank/gateway/execution.py
+++ b/catkincrank/gateway/execution.py
@@ -85,7 +85,7 @@
                 continue
             if reply.refusal is None:
                 return await self._accept(session, need, choice, reply)
-            if not self._placement.may_move(reply.refusal.failure):
+            if not self._placement.may_move(need, reply.refusal.failure):
                 return reply
             self._tries.labels(reply.refusal.failure.name.lower()).inc()
             need.exclude(choice.entry.endpoint_id, reply.refusal.failure)
--- a/catkincrank/gateway/passing.py
+++ b/catkincrank/gateway/passing.py
@@ -18,6 +18,9 @@
 # A commit that is done waits this long for a grant that has lapsed: a reading
 # of the store or of a peer comes twice a second.
 _REGAIN_LIMIT_S = 1.0
+# An endpoint that fails answers fast; reads go elsewhere as if it took this
+# long, in seconds: ten times a usual answer.
+_FAILED_COST_S = 0.5
 
 
 @final
@@ -158,4 +161,7 @@
         entry = borrowed.entry
         evidence = self._groups.evidence(entry.service)
         evidence.note(entry.endpoint_id, reply.position, sent_at, now)
-        self._latencies.note(entry.endpoint_id, now - sent_at, now)
+        took_s = now - sent_at
+        if reply.refusal and reply.refusal.failure is Failure.FAILED:
+            took_s = max(took_s, _FAILED_COST_S)
+        self._latencies.note(entry.endpoint_id, took_s, now)
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -164,8 +164,14 @@
         """Take in that an endpoint did not answer within a time."""
         self._latencies.note(entry.endpoint_id, took_s, anyio.current_time())
 
-    def may_move(self, failure: Failure) -> bool:
-        """Return whether a refused statement may be tried elsewhere."""
+    def may_move(self, need: Need, failure: Failure) -> bool:
+        """Return whether a refused statement may be tried elsewhere.
+
+        A read that failed did run, which does no harm; other endpoints get a
+        chance, but the caller is not kept waiting for a third one.
+        """
+        if failure is Failure.FAILED:
+            return not need.needs_primary and need.tries < _FREE_TRIES
         return failure in _MOVABLE
 
     async def pause(self, need: Need) -> None:
--- a/catkincrank/gateway/transactions.py
+++ b/catkincrank/gateway/transactions.py
@@ -233,7 +233,7 @@
             need.exclude(endpoint_id, Failure.OVERLOADED)
             return None
         failure = reply.refusal and reply.refusal.failure
-        if failure is None or not self._placement.may_move(failure):
+        if failure is None or not self._placement.may_move(need, failure):
             return reply
         await self.abandon(transaction)
         need.exclude(endpoint_id, failure)
--- a/catkincrank/standins/linegroup.py
+++ b/catkincrank/standins/linegroup.py
@@ -37,6 +37,7 @@
         lost_answers: How many statements run without an answer from now on.
         work_s: How long a statement takes, in seconds.
         ran: Identifiers of the statements that ran, in order.
+        is_failing: Whether it fails each statement once it has run.
         born_ms: When it started, in Unix milliseconds; 0 if not told.
     """
 
@@ -49,6 +50,7 @@
     lost_answers: int = 0
     work_s: float = _WORK_S
     ran: list[bytes] = field(default_factory=list)
+    is_failing: bool = False
     born_ms: int = 0
 
     @property
--- a/catkincrank/standins/linelink.py
+++ b/catkincrank/standins/linelink.py
@@ -123,6 +123,8 @@
         if self.instance.lost_answers:
             self.instance.lost_answers -= 1
             raise EndpointError('answer lost', was_sent=True)
+        if self.instance.is_failing:
+            return self._refuse(Failure.FAILED)
         return self._reply(b'row', signature=b'sig')
 
     async def begin(
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -304,3 +304,36 @@
         return _outcome(reply), len(path.runs)
 
     assert _run(scenario) == ('ok', 1)
+
+
+@pytest.mark.parametrize('texts', [[b'READ k'], [b'BEGIN READ', b'READ k']])
+def test_reads_leave_an_endpoint_that_fails(texts):
+    """The load of false health: it fails fast and looked like the best one."""
+
+    async def scenario(path):
+        path.evidence.add_sample(anyio.current_time(), Position(1, 0))
+        path.group.instances['b'].is_failing = True
+        path.group.instances['b'].work_s = 0.001
+        outcomes = set()
+        for _ in range(40):
+            session = path.open('bounded')
+            replies = await path.run_script(session, *texts)
+            outcomes.update(map(_outcome, replies))
+            await path.run_script(session, b'ROLLBACK')
+            path.evidence.add_sample(anyio.current_time(), Position(1, 0))
+        at_failing = sum(run.endpoint_id == 'b' for run in path.runs)
+        return outcomes, at_failing
+
+    outcomes, at_failing = _run(scenario)
+    assert outcomes == {'ok'}
+    assert at_failing <= 4
+
+
+@pytest.mark.parametrize('text', [b'WRITE k v', b'READ k'])
+def test_what_failed_at_the_primary_is_not_run_again(text):
+    async def scenario(path):
+        path.group.instances['a'].is_failing = True
+        reply = await path.ask(path.open('strong'), text)
+        return _outcome(reply), len(path.runs)
+
+    assert _run(scenario) == (Failure.FAILED, 1)
