Try another replica when a carrier's queue is full

Cause: a full queue at one carrier was told to the caller although another replica might have had room; the VM that chose cannot see that queue.

--- a/catkincrank/gateway/execution.py
+++ b/catkincrank/gateway/execution.py
@@ -158,7 +158,7 @@
                 Failure.TIMED_OUT if error.was_sent else Failure.OVERLOADED,
                 cause,
             )
-        need.exclude(choice.entry.endpoint_id, Failure.OVERLOADED)
+        self._placement.take_refusal(need, choice.entry, error)
 
     async def _accept(
         self,
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -17,6 +17,7 @@
 )
 from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.lending import Lending
+from catkincrank.gateway.link import LinkRefusedError
 from catkincrank.gateway.linkpools import BorrowedLink, Claim
 from catkincrank.gateway.position import Position
 from catkincrank.gateway.reply import Failure, StatementFailed
@@ -160,6 +161,23 @@
             limit_s = max(limit_s, (need.deadline - now) * _PRIMARY_TRY_SHARE)
         return min(need.deadline, now + limit_s)
 
+    def take_refusal(
+        self,
+        need: Need,
+        entry: EndpointEntry,
+        error: EndpointError,
+    ) -> None:
+        """Remember that an endpoint did not run a statement.
+
+        Raises:
+            StatementFailed: Its queue is full and there is none other to try.
+        """
+        need.exclude(entry.endpoint_id, Failure.OVERLOADED)
+        is_last = need.needs_primary or need.tries > _FREE_TRIES
+        if is_last and isinstance(error, LinkRefusedError):
+            cause = '{0}: {1}'.format(entry.endpoint_id, error)
+            raise StatementFailed(Failure.OVERLOADED, cause)
+
     def note_late(self, entry: EndpointEntry, took_s: float) -> None:
         """Take in that an endpoint did not answer within a time."""
         self._latencies.note(entry.endpoint_id, took_s, anyio.current_time())
--- a/catkincrank/gateway/remotelink.py
+++ b/catkincrank/gateway/remotelink.py
@@ -14,10 +14,15 @@
 )
 from catkincrank.gateway.carriers import Carriers
 from catkincrank.gateway.fleetrecords import MemberRecord
-from catkincrank.gateway.link import EndpointLink, EndpointState, LinkDriver
+from catkincrank.gateway.link import (
+    EndpointLink,
+    EndpointState,
+    LinkDriver,
+    LinkRefusedError,
+)
 from catkincrank.gateway.linkpools import Claim
 from catkincrank.gateway.position import Position
-from catkincrank.gateway.reply import Failure, Refusal, Reply, StatementFailed
+from catkincrank.gateway.reply import Failure, Refusal, Reply
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.gateway.statement import Kind, Prepared, Statement
 from catkincrank.links import Link, LinkClosedError, dial
@@ -210,7 +215,7 @@
 
     def _take(self, answer: CarryReply) -> Reply:
         if answer.is_full:
-            raise StatementFailed(Failure.OVERLOADED, answer.error)
+            raise LinkRefusedError(Failure.OVERLOADED, answer.error)
         if answer.error:
             if answer.is_declined:
                 self._avoid(answer.error)
--- a/catkincrank/gateway/transactions.py
+++ b/catkincrank/gateway/transactions.py
@@ -213,8 +213,8 @@
             begun = await self._begin(
                 session, transaction, statement, need, choice, borrowed
             )
-        except EndpointError:
-            need.exclude(endpoint_id, Failure.OVERLOADED)
+        except EndpointError as error:
+            self._placement.take_refusal(need, choice.entry, error)
             return None
         if begun.refusal is not None:
             borrowed.give_back()
--- a/tests/test_gateway_carriers.py
+++ b/tests/test_gateway_carriers.py
@@ -9,6 +9,7 @@
 from catkincrank.gateway.carriers import Carriers, Share
 from catkincrank.gateway.fleetrecords import MemberRecord
 from catkincrank.gateway.linkpools import Claim, LinkPools
+from catkincrank.gateway.position import Position
 from catkincrank.gateway.reply import Failure
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.links import LinkClosedError
@@ -376,3 +377,30 @@
         assert max(length for _, length in refused[:5]) < 0.1
 
     _play(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize(
+    ('database', 'expected'),
+    [('bounded', None), ('strong', Failure.OVERLOADED)],
+)
+def test_a_read_goes_elsewhere_if_a_replica_is_full(
+    database, expected, monkeypatch
+):
+    async def scenario(path):
+        entries = path.group.list_entries()
+        full = 'a' if database == 'strong' else 'b'
+        for each in path.carriages.values():
+            each._pools.configure(
+                entries,
+                lambda entry: Share(0 if entry.endpoint_id == full else 3, 3),
+            )
+        path.evidence.add_sample(anyio.current_time(), Position(1, 0))
+        path.group.instances['c'].work_s = 0.05
+        began = anyio.current_time()
+        for _ in range(5):
+            session = path.open(database)
+            replies = await path.run_script(session, b'READ k')
+            assert _verdicts(replies) == [expected]
+        assert anyio.current_time() < began + 1
+
+    _play(monkeypatch, scenario)
