--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -207,10 +207,23 @@
     assert {one.kind for plan in plans for one in plan} == set(kinds.names())
 
 
-# Seeds that failed once, each with its cause, follow the drawn ones.
-# 22: a first statement whose answer was lost ran again elsewhere (allowed).
-@pytest.mark.parametrize('seed', [1, 22])
-def test_short_soak(seed, tmp_path):
-    history = anyio.run(run_seed, seed, SoakSize(6, 3, 8), tmp_path)
+SMALL = SoakSize(6, 3, 8)
+
+
+@pytest.mark.timeout(300)
+@pytest.mark.parametrize(
+    ('seed', 'size'),
+    [
+        (1, SMALL),
+        # A first statement without an answer ran again elsewhere: allowed.
+        (22, SMALL),
+        # Each endpoint took itself for the primary; nobody led any more.
+        (44, SoakSize()),
+        # A write was in doubt while the duty changed hands.
+        (114, SMALL),
+    ],
+)
+def test_short_soak(seed, size, tmp_path):
+    history = anyio.run(run_seed, seed, size, tmp_path)
     assert find_broken(history) == []
     assert any(one.outcome is Outcome.DONE for one in history.attempts.values())
