Merge what the carriers wrote twice

Cause: read once more as a whole, the change had twins: the test whether an endpoint leads a later term (succession, selection), the conversion of a failed adoption (passing, carriage), the destination built field by field at both ends, two tables of words for the same kinds of statement, the same try around run and begin, two dictionaries with the same keys beside each pool.

Change: one piece each: selection.leads, EndpointLink.adopt, Destination.of_entry, the values of Kind, Passer._ask, one dictionary of pools.

Ruled out: one function for Passer.adopt and the carrier's, since the first also decides what becomes of the link; merging run and commit of transactions, which differ in what a failure means.

--- a/catkincrank/gateway/carriage.py
+++ b/catkincrank/gateway/carriage.py
@@ -73,16 +73,8 @@
             CarriageDeclinedError: This process does not know it.
         """
         entry = self._groups.roster.find(wanted.endpoint)
-        if entry is not None:
-            known = Destination(
-                entry.service,
-                entry.endpoint_id,
-                entry.host,
-                entry.port,
-                entry.born_ms,
-            )
-            if known == wanted:
-                return entry
+        if entry is not None and Destination.of_entry(entry) == wanted:
+            return entry
         raise CarriageDeclinedError('unknown endpoint')
 
     def count(self, answer: CarryReply) -> None:
@@ -170,7 +162,7 @@
 
     async def _hold(self, request: CarryRequest) -> BorrowedLink:
         if self._borrowed is None:
-            if request.action == 'roll_back':
+            if request.action == Kind.ROLLBACK.value:
                 raise EndpointError('no transaction is open', was_sent=False)
             if request.destination is not None:
                 self._entry = self._carriage.find(request.destination)
@@ -192,11 +184,7 @@
 
 async def _adopt(link: EndpointLink, request: CarryRequest) -> None:
     values = {one.name: one.content for one in request.values}
-    try:
-        accepted = await link.adopt(values, request.prepared)
-    except EndpointError as error:
-        raise EndpointError(str(error), was_sent=False) from None
-    if not accepted:
+    if not await link.adopt(values, request.prepared):
         raise EndpointError('session state refused', was_sent=False)
 
 
@@ -243,13 +231,13 @@
 
 _Action = Callable[[EndpointLink, CarryRequest], Awaitable[Reply]]
 _ACTIONS: dict[str, _Action] = {  # noqa: WPS407
-    'read': partial(_run, Kind.READ),
-    'write': partial(_run, Kind.WRITE),
-    'commit': partial(_run, Kind.COMMIT),
-    'execute': _execute,
-    'begin': _begin,
-    'begin_read': partial(_begin, is_read_only=True),
-    'roll_back': _roll_back,
+    Kind.READ.value: partial(_run, Kind.READ),
+    Kind.WRITE.value: partial(_run, Kind.WRITE),
+    Kind.COMMIT.value: partial(_run, Kind.COMMIT),
+    Kind.EXECUTE.value: _execute,
+    Kind.BEGIN.value: _begin,
+    Kind.BEGIN_READ.value: partial(_begin, is_read_only=True),
+    Kind.ROLLBACK.value: _roll_back,
 }
 
 
--- a/catkincrank/gateway/carriagemessages.py
+++ b/catkincrank/gateway/carriagemessages.py
@@ -5,6 +5,7 @@
 
 from catkincrank.envelope import file_message
 from catkincrank.gateway.position import Position
+from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.gateway.statement import Prepared
 
 __all__ = (
@@ -34,6 +35,17 @@
     port: int
     born_ms: int
 
+    @classmethod
+    def of_entry(cls, entry: EndpointEntry) -> 'Destination':
+        """Return the destination that a registration stands for."""
+        return cls(
+            entry.service,
+            entry.endpoint_id,
+            entry.host,
+            entry.port,
+            entry.born_ms,
+        )
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -54,7 +66,7 @@
     can work out or knows already is left out.
 
     Attributes:
-        action: What to do; see ``carriage``.
+        action: What to do: the value of a ``Kind``.
         request_id: The caller's identifier of the request.
         text: The statement, or the arguments of an execution.
         limit_s: Time that the statement may take, in seconds.
--- a/catkincrank/gateway/carriers.py
+++ b/catkincrank/gateway/carriers.py
@@ -96,15 +96,15 @@
 
     def share(self, entry: EndpointEntry) -> Share:
         """Return the connections that this process may hold."""
-        usable = self._count_usable(entry)
+        connections = self._connections.get(entry.service, 0)
         if not self._is_scarce(entry):
             members = max(1, len(self._members))
-            count = share_connections(usable + _RESERVED, members)
+            count = share_connections(connections, members)
             return Share(count, count)
         carriers = self._list_carriers(entry)
         if self._me not in carriers:
             return Share(1, 1, is_borrowed=True)
-        most = max(1, usable // len(carriers))
+        most = share_connections(connections, len(carriers))
         in_hand = -(-self._count_in_hand(entry) // len(carriers))
         return Share(min(most, in_hand), most)
 
@@ -147,12 +147,10 @@
     def _is_scarce(self, entry: EndpointEntry) -> bool:
         return self._count_in_hand(entry) < len(self._members)
 
-    def _count_usable(self, entry: EndpointEntry) -> int:
-        return self._connections.get(entry.service, 0) - _RESERVED
-
     def _count_in_hand(self, entry: EndpointEntry) -> int:
         """Return how many statements an endpoint can have in hand."""
-        return min(self._count_usable(entry), entry.slots * _QUEUED_PER_SLOT)
+        usable = self._connections.get(entry.service, 0) - _RESERVED
+        return min(usable, entry.slots * _QUEUED_PER_SLOT)
 
     def _list_carriers(self, entry: EndpointEntry) -> list[MemberRecord]:
         """Return an endpoint's carriers, which are close to it."""
@@ -170,12 +168,12 @@
         members = list(self._members.values())
         same_zone = [one for one in members if one.zone == entry.zone]
         region = self._regions.get(entry.zone)
+        if same_zone or region is None:
+            return same_zone or members
         same_region = [
-            one
-            for one in members
-            if region is not None and self._regions.get(one.zone) == region
+            one for one in members if self._regions.get(one.zone) == region
         ]
-        return same_zone or same_region or members
+        return same_region or members
 
 
 def share_connections(connections: int, members: int) -> int:
--- a/catkincrank/gateway/execution.py
+++ b/catkincrank/gateway/execution.py
@@ -101,12 +101,11 @@
     ) -> Reply:
         was_sent = False
         after = None if need.is_write else choice.after
-        limit = need.deadline
-        if not need.is_write:
-            limit = self._placement.limit_try(need, choice.entry)
+        try_until = self._placement.limit_try(need, choice.entry)
+        limit = need.deadline if need.is_write else try_until
         began_at = anyio.current_time()
         with anyio.CancelScope(deadline=limit):
-            await self._adopt(session, statement, need, choice, borrowed)
+            await self._adopt(session, statement, borrowed, try_until)
             was_sent = True
             reply = await self._passer.run(borrowed, session, statement, after)
             borrowed.give_back()
@@ -128,13 +127,11 @@
         self,
         session: Session,
         statement: Statement,
-        need: Need,
-        choice: Choice,
         borrowed: BorrowedLink,
+        until: float,
     ) -> None:
         """Bring the link into the session's state, which can be repeated."""
-        limit = self._placement.limit_try(need, choice.entry)
-        with anyio.CancelScope(deadline=limit):
+        with anyio.CancelScope(deadline=until):
             await self._passer.adopt(borrowed, session, statement)
             return
         raise EndpointError('no answer in time', was_sent=False)
--- a/catkincrank/gateway/knowledge.py
+++ b/catkincrank/gateway/knowledge.py
@@ -92,7 +92,7 @@
             for service in catalog.services.values()
         }
         self._lending.configure(
-            self._groups.roster.list_entries(),
+            self._groups.roster.find,
             connections,
             self._list_members(),
             is_new=anyio.current_time() < self._started_at + _LINGER_S,
--- a/catkincrank/gateway/lending.py
+++ b/catkincrank/gateway/lending.py
@@ -1,6 +1,6 @@
 """Lends links to endpoints: own ones, or those of a carrier."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Mapping
 from functools import partial
 from typing import final
 
@@ -51,7 +51,7 @@
 
     def configure(
         self,
-        entries: Iterable[EndpointEntry],
+        find_entry: Callable[[str], EndpointEntry | None],
         connections: Mapping[str, int],
         members: Mapping[str, MemberRecord],
         *,
@@ -60,16 +60,15 @@
         """Divide the endpoints' connections among the processes.
 
         Args:
-            entries: The endpoints.
+            find_entry: Returns the registration of an endpoint, if any.
             connections: Connections that each takes, by service.
             members: The processes.
             is_new: Whether connections of a process that had this place
                 before may still count.
         """
-        known = list(entries)
         self._carriers.configure(connections, members)
-        self.own.configure(known, partial(self._share, is_new=is_new))
-        self._remote.configure(known, _share_remote)
+        self.own.configure(find_entry, partial(self._share, is_new=is_new))
+        self._remote.configure(find_entry, _share_remote)
 
     async def borrow(
         self,
--- a/catkincrank/gateway/link.py
+++ b/catkincrank/gateway/link.py
@@ -84,6 +84,9 @@
 
         Returns:
             Whether the endpoint accepted it.
+
+        Raises:
+            EndpointError: No whole answer came; nothing of the session ran.
         """
         is_reset = self._needs_reset(values)
         known = {} if is_reset else self.values
@@ -96,7 +99,10 @@
             wanted = None
         if not (is_reset or missing or wanted):
             return True
-        return await self.configure(missing, wanted, is_reset=is_reset)
+        try:
+            return await self.configure(missing, wanted, is_reset=is_reset)
+        except EndpointError as error:
+            raise EndpointError(str(error), was_sent=False) from None
 
     @abstractmethod
     async def run(
--- a/catkincrank/gateway/linkpools.py
+++ b/catkincrank/gateway/linkpools.py
@@ -3,7 +3,7 @@
 import dataclasses
 import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from functools import partial
 from typing import final
 
@@ -20,7 +20,7 @@
 from catkincrank.poolrunner import PoolRunner
 from catkincrank.retry import OPENING_BACKOFF
 
-__all__ = ('BorrowedLink', 'Claim', 'LinkPools', 'key_of')
+__all__ = ('BorrowedLink', 'Claim', 'LinkPools')
 
 # Opening takes the endpoint 12 ms and a round trip; a path that takes longer
 # than this is broken.
@@ -67,15 +67,21 @@
     deadline: float
 
 
+@final
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pool:
+    runner: PoolRunner
+    parking: Parking
+
+
 @final
 class BorrowedLink:
     """A link held for one statement or transaction.
 
     Args:
         entry: The endpoint that it leads to.
-        runner: Its pool.
+        pool: Its pool.
         connection_id: Number of the link in the pool.
-        parking: Links of the pool that rest in transactions.
     """
 
     __slots__ = (
@@ -91,16 +97,15 @@
     def __init__(
         self,
         entry: EndpointEntry,
-        runner: PoolRunner,
+        pool: _Pool,
         connection_id: int,
-        parking: Parking,
     ) -> None:
         self.entry = entry
-        self._parking = parking
+        self._parking = pool.parking
         self._is_parked = False
-        self._runner = runner
+        self._runner = pool.runner
         self._connection_id = connection_id
-        self.link: EndpointLink = runner.connection(connection_id)
+        self.link: EndpointLink = pool.runner.connection(connection_id)
         self.is_held = True
 
     def park(self) -> None:
@@ -146,8 +151,7 @@
         '_driver',
         '_find_share',
         '_numbers',
-        '_parkings',
-        '_runners',
+        '_pools',
         '_source',
         '_tasks',
     )
@@ -163,34 +167,31 @@
         self._tasks = tasks
         self._source = random.Random()
         self._numbers = itertools.count(1)
-        self._runners: dict[EndpointKey, PoolRunner] = {}
-        self._parkings: dict[EndpointKey, Parking] = {}
+        self._pools: dict[EndpointKey, _Pool] = {}
         self._find_share: _FindShare = _share_one
 
     def configure(
         self,
-        entries: Iterable[EndpointEntry],
+        find_entry: Callable[[str], EndpointEntry | None],
         find_share: _FindShare,
     ) -> None:
-        """Bring the registered endpoints into use and drop those that went.
+        """Take in new shares, and drop the pools of endpoints that went.
 
         Args:
-            entries: The endpoints.
+            find_entry: Returns the registration of an endpoint, if any.
             find_share: Returns the links that this process may hold to one.
         """
         self._find_share = find_share
-        known = {key_of(entry): entry for entry in entries}
-        for key, runner in tuple(self._runners.items()):
-            entry = known.get(key)
-            if entry is not None:
+        for key, pool in tuple(self._pools.items()):
+            entry = find_entry(pool.runner.pool.endpoint)
+            if entry is not None and key_of(entry) == key:
                 share = find_share(entry)
-                self._parkings[key].share = share
-                runner.pool.change_options(_find_options(share))
+                pool.parking.share = share
+                pool.runner.pool.change_options(_find_options(share))
                 continue
-            runner.set_leaving(is_leaving=True)
-            if not runner.pool.held:
-                self._runners.pop(key)
-                self._parkings.pop(key)
+            pool.runner.set_leaving(is_leaving=True)
+            if not pool.runner.pool.held:
+                self._pools.pop(key)
         self._tend()
 
     async def borrow(
@@ -204,26 +205,25 @@
             RequestError: Too many requests wait already.
             EndpointError: The endpoint cannot be reached.
         """
-        runner = self._find(entry)
+        pool = self._find(entry)
         while True:
-            ticket = runner.ask(self._make_entry(entry, claim))
-            number = await runner.wait(ticket)
-            parking = self._parkings[key_of(entry)]
-            borrowed = BorrowedLink(entry, runner, number, parking)
+            ticket = pool.runner.ask(self._make_entry(entry, claim))
+            number = await pool.runner.wait(ticket)
+            borrowed = BorrowedLink(entry, pool, number)
             if borrowed.link.is_alive:
                 return borrowed
             borrowed.discard(is_lost=True)
 
     def load_of(self, entry: EndpointEntry) -> int:
         """Return how many requests hold or await a link to an endpoint."""
-        runner = self._runners.get(key_of(entry))
-        if runner is None:
+        pool = self._pools.get(key_of(entry))
+        if pool is None:
             return 0
-        return runner.pool.in_use + runner.pool.waiting
+        return pool.runner.pool.in_use + pool.runner.pool.waiting
 
     def list_pools(self) -> list[PoolState]:
         """Return what the state dump shows of each pool."""
-        return [runner.pool.describe() for runner in self._runners.values()]
+        return [one.runner.pool.describe() for one in self._pools.values()]
 
     async def connect(self, entry: EndpointEntry) -> EndpointLink:
         """Open a link outside the pools.
@@ -243,14 +243,14 @@
 
     async def close(self) -> None:
         """Close every link."""
-        for runner in tuple(self._runners.values()):
-            await runner.close()  # noqa: WPS476
+        for pool in tuple(self._pools.values()):
+            await pool.runner.close()  # noqa: WPS476
 
     def _tend(self) -> None:
         now = anyio.current_time()
-        for key, runner in tuple(self._runners.items()):
-            runner.change_limit(self._parkings[key].limit(now))
-            runner.tick()
+        for pool in tuple(self._pools.values()):
+            pool.runner.change_limit(pool.parking.limit(now))
+            pool.runner.tick()
 
     def _make_entry(
         self,
@@ -266,21 +266,24 @@
             anyio.current_time(),
         )
 
-    def _find(self, entry: EndpointEntry) -> PoolRunner:
+    def _find(self, entry: EndpointEntry) -> _Pool:
         key = key_of(entry)
-        runner = self._runners.get(key)
-        if runner is None:
+        pool = self._pools.get(key)
+        if pool is None:
             share = self._find_share(entry)
-            pool = EndpointPool(
+            decisions = EndpointPool(
                 entry.endpoint_id,
                 share.limit,
                 _find_options(share),
                 self._source,
             )
-            runner = PoolRunner(pool, partial(self._open, entry), self._tasks)
-            self._runners[key] = runner
-            self._parkings[key] = Parking(share)
-        return runner
+            connect = partial(self._open, entry)
+            pool = _Pool(
+                PoolRunner(decisions, connect, self._tasks),
+                Parking(share),
+            )
+            self._pools[key] = pool
+        return pool
 
     async def _open(self, entry: EndpointEntry, _login: str) -> EndpointLink:
         return await self.connect(entry)
--- a/catkincrank/gateway/passing.py
+++ b/catkincrank/gateway/passing.py
@@ -1,5 +1,6 @@
 """Passes one statement on to a borrowed link."""
 
+from collections.abc import Awaitable
 from typing import final
 
 import anyio
@@ -53,14 +54,7 @@
         """
         link = borrowed.link
         alias = link.prepared.get(session.prepared.get(statement.name), b'')
-        sent_at = anyio.current_time()
-        try:
-            reply = await link.run(statement, after, alias)
-        except BaseException:
-            borrowed.discard(is_lost=True)
-            raise
-        self._learn(borrowed, reply, sent_at)
-        return reply
+        return await self._ask(borrowed, link.run(statement, after, alias))
 
     async def begin(
         self,
@@ -70,17 +64,8 @@
         after: Position | None,
     ) -> Reply:
         """Begin a transaction; as ``run``."""
-        sent_at = anyio.current_time()
-        try:
-            reply = await borrowed.link.begin(
-                is_read_only=is_read_only,
-                after=after,
-            )
-        except BaseException:
-            borrowed.discard(is_lost=True)
-            raise
-        self._learn(borrowed, reply, sent_at)
-        return reply
+        asked = borrowed.link.begin(is_read_only=is_read_only, after=after)
+        return await self._ask(borrowed, asked)
 
     async def acknowledge(
         self,
@@ -141,9 +126,6 @@
             wanted = session.prepared[statement.name]
         try:
             accepted = await borrowed.link.adopt(session.values, wanted)
-        except EndpointError as error:
-            borrowed.discard(is_lost=True)
-            raise EndpointError(str(error), was_sent=False) from None
         except BaseException:
             borrowed.discard(is_lost=True)
             raise
@@ -151,6 +133,21 @@
             borrowed.discard()
             raise EndpointError('session state refused', was_sent=False)
 
+    async def _ask(
+        self,
+        borrowed: BorrowedLink,
+        asked: Awaitable[Reply],
+    ) -> Reply:
+        """Await a reply and learn from it, or discard the link."""
+        sent_at = anyio.current_time()
+        try:
+            reply = await asked
+        except BaseException:
+            borrowed.discard(is_lost=True)
+            raise
+        self._learn(borrowed, reply, sent_at)
+        return reply
+
     def _learn(
         self,
         borrowed: BorrowedLink,
--- a/catkincrank/gateway/remotelink.py
+++ b/catkincrank/gateway/remotelink.py
@@ -37,11 +37,6 @@
 _LONGEST_LIMIT_S = 30.0
 _FAILURES = (LinkClosedError, MessageError)
 _NO_CLAIM = Claim('', 0, 0)
-_ACTIONS = {  # noqa: WPS407
-    Kind.WRITE: 'write',
-    Kind.COMMIT: 'commit',
-    Kind.EXECUTE: 'execute',
-}
 
 
 @final
@@ -87,13 +82,7 @@
         self._status = TransactionStatus.IDLE
         self._values: tuple[CarriedValue, ...] = ()
         self._prepared: Prepared | None = None
-        self._destination: Destination | None = Destination(
-            entry.service,
-            entry.endpoint_id,
-            entry.host,
-            entry.port,
-            entry.born_ms,
-        )
+        self._destination: Destination | None = Destination.of_entry(entry)
 
     @property
     def status(self) -> TransactionStatus:
@@ -131,8 +120,9 @@
         text = statement.text
         if statement.kind is Kind.EXECUTE:
             text = statement.operand
-        action = _ACTIONS.get(statement.kind, 'read')
-        return await self._ask(action, after, statement.request_id, text)
+        return await self._ask(
+            statement.kind, after, statement.request_id, text
+        )
 
     async def begin(
         self,
@@ -141,12 +131,12 @@
         after: Position | None,
     ) -> Reply:
         """Begin a transaction."""
-        action = 'begin_read' if is_read_only else 'begin'
-        return await self._ask(action, after)
+        kind = Kind.BEGIN_READ if is_read_only else Kind.BEGIN
+        return await self._ask(kind, after)
 
     async def roll_back(self) -> Reply:
         """Roll the transaction back."""
-        return await self._ask('roll_back')
+        return await self._ask(Kind.ROLLBACK)
 
     async def configure(
         self,
@@ -175,13 +165,13 @@
 
     async def _ask(
         self,
-        action: str,
+        kind: Kind,
         after: Position | None = None,
         request_id: bytes = b'',
         text: bytes = b'',
     ) -> Reply:
         request = CarryRequest(
-            action,
+            kind.value,
             request_id,
             text,
             _find_limit(),
--- a/catkincrank/gateway/selection.py
+++ b/catkincrank/gateway/selection.py
@@ -13,7 +13,7 @@
 from catkincrank.gateway.suspicion import Cause
 from catkincrank.logs import log_event
 
-__all__ = ('Candidate', 'Selection')
+__all__ = ('Candidate', 'Selection', 'leads')
 
 Candidate = tuple[EndpointEntry, EndpointState]
 # How long a replica may take to receive what a leaving primary has.
@@ -64,7 +64,7 @@
                 the group was marked, so that the primary may stay.
         """
         found = await self._ask_all(record.service)
-        leading = [one for one in found if _leads(one, record)]
+        leading = [one for one in found if leads(one[1], record)]
         if leading:
             return max(leading, key=_term_of)
         usable = _others(found, record)
@@ -160,8 +160,8 @@
     ]
 
 
-def _leads(candidate: Candidate, record: GroupRecord) -> bool:
-    state = candidate[1]
+def leads(state: EndpointState, record: GroupRecord) -> bool:
+    """Return whether an endpoint leads a later term than its group's row."""
     return state.is_primary and state.term > record.term
 
 
--- a/catkincrank/gateway/succession.py
+++ b/catkincrank/gateway/succession.py
@@ -22,7 +22,7 @@
 from catkincrank.gateway.revocation import Revocation
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.gateway.rowstore import Condition, RowStore
-from catkincrank.gateway.selection import Candidate, Selection
+from catkincrank.gateway.selection import Candidate, Selection, leads
 from catkincrank.gateway.suspicion import Cause
 from catkincrank.gateway.tenure import Tenure
 from catkincrank.logs import log_event
@@ -210,7 +210,7 @@
         ends_at = anyio.current_time() + _LEAD_LIMIT_S
         while anyio.current_time() < ends_at:
             state = await self._inspector.ask(entry)
-            if state is not None and _leads(state, record):
+            if state is not None and leads(state, record):
                 return entry, state
             await anyio.sleep(_LEAD_STEP_S)
         return None
@@ -293,7 +293,3 @@
 
     def _find_record(self, service: str) -> tuple[int, GroupRecord | None]:
         return self._ledger.records.get(service, (0, None))
-
-
-def _leads(state: EndpointState, record: GroupRecord) -> bool:
-    return state.is_primary and state.term > record.term
--- a/tests/gatewaypath.py
+++ b/tests/gatewaypath.py
@@ -42,7 +42,7 @@
         me = MemberRecord('test', 'life', '127.0.0.1', 1, 'zone')
         self.lending = Lending(self.driver, me, {}, tasks)
         self.pools = self.lending.own
-        self.pools.configure(self.group.list_entries(), lambda _: Share(3, 3))
+        self.pools.configure(self.groups.roster.find, lambda _: Share(3, 3))
         latencies = Latencies('zone', {})
         passer = Passer(self.groups, latencies)
         placement = Placement(self.groups, self.lending, latencies)
--- a/tests/test_gateway_carriers.py
+++ b/tests/test_gateway_carriers.py
@@ -167,11 +167,11 @@
         }
         for name in fleet:
             pools = LinkPools(self.driver, name, tasks)
-            pools.configure(self.group.list_entries(), lambda _: Share(3, 3))
+            pools.configure(self.groups.roster.find, lambda _: Share(3, 3))
             tasks.start_soon(pools.run)
             self.carriages[name] = Carriage(self.groups, pools, Metrics())
         self.lending.configure(
-            self.group.list_entries(), {'svc': 10}, fleet, is_new=False
+            self.groups.roster.find, {'svc': 10}, fleet, is_new=False
         )
         monkeypatch.setattr(remotelink, 'dial', self._dial)
 
@@ -331,7 +331,7 @@
     async def scenario(path):
         for each in path.carriages.values():
             each._pools.configure(
-                path.group.list_entries(), lambda _: Share(1, 3)
+                path.groups.roster.find, lambda _: Share(1, 3)
             )
         resting = [path.open('strong') for _ in range(2)]
         for one in resting:
@@ -355,7 +355,7 @@
     async def scenario(path):
         for each in path.carriages.values():
             each._pools.configure(
-                path.group.list_entries(), lambda _: Share(1, 1)
+                path.groups.roster.find, lambda _: Share(1, 1)
             )
         path.group.leader.work_s = 0.3
         took = []
@@ -387,11 +387,10 @@
     database, expected, monkeypatch
 ):
     async def scenario(path):
-        entries = path.group.list_entries()
         full = 'a' if database == 'strong' else 'b'
         for each in path.carriages.values():
             each._pools.configure(
-                entries,
+                path.groups.roster.find,
                 lambda entry: Share(0 if entry.endpoint_id == full else 3, 3),
             )
         path.evidence.add_sample(anyio.current_time(), Position(1, 0))
--- a/tests/test_gateway_execution.py
+++ b/tests/test_gateway_execution.py
@@ -195,7 +195,7 @@
     async def scenario(path):
         await path.ask(path.open('strong'), b'READ k')
         await path.pools.close()
-        path.pools._runners.clear()
+        path.pools._pools.clear()
         path.driver.is_refusing = True
         path.driver.opened = 0
         reply = await path.ask(path.open(database), b'READ k')
--- a/tests/test_gateway_linkpools.py
+++ b/tests/test_gateway_linkpools.py
@@ -47,7 +47,7 @@
 
             async def work(number):
                 pools = LinkPools(driver, 'vm{0}'.format(number), tasks)
-                pools.configure([entry], lambda _: share)
+                pools.configure({entry.endpoint_id: entry}.get, lambda _: share)
                 tasks.start_soon(pools.run)
                 await anyio.sleep(number * 0.1)
                 for _ in range(10):
