Use the trial's deployment in the soak, and one printer in explain

Cause: the soak wrote the trial's configuration, routes and endpoints again, and took harm off wires in three loops; explain printed stories and failovers by the same four lines twice.

Change: make_config takes version, connections and time; harm_for takes several wires; one function prints events.

Figures: the tests keep their assertions; the soak's configuration differs in max_staleness_ms of the primary route, which has no effect there.

--- a/benchmarks/soak/aims.py
+++ b/benchmarks/soak/aims.py
@@ -1,6 +1,6 @@
 """What troubles strike, and how they are filed."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 import anyio
 
@@ -62,12 +62,14 @@
 
 
 async def harm_for(
-    wire: Wire,
+    wires: Collection[Wire],
     harm: Harm,
     for_s: float,
     name: str = EVERYONE,
 ) -> None:
     """Harm connections for a while."""
-    wire.harm(harm, name)
+    for wire in wires:
+        wire.harm(harm, name)
     await anyio.sleep(for_s)
-    wire.harm(None, name)
+    for mended in wires:
+        mended.harm(None, name)
--- a/benchmarks/soak/caller.py
+++ b/benchmarks/soak/caller.py
@@ -12,16 +12,11 @@
 from benchmarks.soak.program import Program
 from catkincrank.gateway.callers import HANG_UPS
 from catkincrank.platform.lines import LineReader
+from catkincrank.platform.trial import ROUTES
 
-__all__ = ('CONSISTENCIES', 'Caller')
+__all__ = ('Caller',)
 
 _HOST = '127.0.0.1'
-# Databases and the types of their routes.
-CONSISTENCIES = {  # noqa: WPS407
-    'strong': 'primary',
-    'bounded': 'bounded_staleness',
-    'own': 'read_your_writes',
-}
 _ID_BITS = 64
 _PATIENCE_S = 4
 _PAUSE_S = 0.05
@@ -110,7 +105,7 @@
         self._program = program
         self._source = source
         self._history = history
-        self._database = source.choice(tuple(CONSISTENCIES))
+        self._database = source.choice(tuple(ROUTES))
         self._values: dict[bytes, bytes] = {}
         self._transactions = itertools.count(1)
         self._transaction = 0
@@ -189,7 +184,7 @@
         attempt = Attempt(
             b'%016x' % self._source.getrandbits(_ID_BITS),
             self._number,
-            CONSISTENCIES[self._database],
+            ROUTES[self._database],
             text,
             now,
             self._began_at if self._transaction else now,
--- a/benchmarks/soak/endpointtroubles.py
+++ b/benchmarks/soak/endpointtroubles.py
@@ -48,7 +48,7 @@
     """Cut an endpoint off from all gateways, one way or both."""
     endpoint = pick_endpoint(world, trouble)
     wire = world.endpoint_wires[endpoint.endpoint_id]
-    await harm_for(wire, pick_harm(trouble), trouble.for_s)
+    await harm_for([wire], pick_harm(trouble), trouble.for_s)
     return endpoint.endpoint_id
 
 
@@ -58,7 +58,7 @@
     endpoint = pick_endpoint(world, trouble)
     program = pick_program(world, trouble)
     wire = world.endpoint_wires[endpoint.endpoint_id]
-    await harm_for(wire, pick_harm(trouble), trouble.for_s, program.name)
+    await harm_for([wire], pick_harm(trouble), trouble.for_s, program.name)
     return '{0} {1}'.format(program.name, endpoint.endpoint_id)
 
 
@@ -68,7 +68,7 @@
     endpoint = pick_endpoint(world, trouble)
     wire = world.endpoint_wires[endpoint.endpoint_id]
     harm = Harm(delay_s=trouble.choice * MAX_DELAY_S)
-    await harm_for(wire, harm, trouble.for_s)
+    await harm_for([wire], harm, trouble.for_s)
     return endpoint.endpoint_id
 
 
--- a/benchmarks/soak/promises.py
+++ b/benchmarks/soak/promises.py
@@ -16,7 +16,7 @@
 _Place = tuple[int, int]
 _Check = Callable[[History], Iterator[str]]
 promises: Registry[_Check] = Registry('promise')
-# What the soak's configuration allows, in seconds, by type of route.
+# What `make_config` of the trial allows, in seconds, by type of route.
 STALENESS_S = {  # noqa: WPS407
     'primary': 0,
     'bounded_staleness': 1.5,
--- a/benchmarks/soak/storetroubles.py
+++ b/benchmarks/soak/storetroubles.py
@@ -21,30 +21,27 @@
     """Cut the path of one gateway to the store, one way or both."""
     program = pick_program(world, trouble)
     wire = world.store_wires[program.name]
-    await harm_for(wire, pick_harm(trouble), trouble.for_s)
+    await harm_for([wire], pick_harm(trouble), trouble.for_s)
     return program.name
 
 
 @file_trouble('store down')
 async def take_store_down(world: World, trouble: Trouble) -> str:
     """Let the store refuse everybody."""
-    for wire in world.store_wires.values():
-        wire.harm(Harm(refuses=True))
-        await wire.reset()  # noqa: WPS476
-    await anyio.sleep(trouble.for_s)
-    for mended in world.store_wires.values():
-        mended.harm(None)
+    async with anyio.create_task_group() as tasks:
+        wires = world.store_wires.values()
+        harm = Harm(refuses=True)
+        tasks.start_soon(harm_for, wires, harm, trouble.for_s)
+        for wire in wires:
+            tasks.start_soon(wire.reset)
     return 'all'
 
 
 @file_trouble('store slow')
 async def slow_store(world: World, trouble: Trouble) -> str:
     """Delay all that passes between the store and the gateways."""
-    for wire in world.store_wires.values():
-        wire.harm(Harm(delay_s=trouble.strength * MAX_DELAY_S))
-    await anyio.sleep(trouble.for_s)
-    for mended in world.store_wires.values():
-        mended.harm(None)
+    harm = Harm(delay_s=trouble.strength * MAX_DELAY_S)
+    await harm_for(world.store_wires.values(), harm, trouble.for_s)
     return 'all'
 
 
@@ -61,5 +58,5 @@
     """Cut the path of one gateway to what appoints primaries."""
     program = pick_program(world, trouble)
     wire = world.promoter_wires[program.name]
-    await harm_for(wire, pick_harm(trouble), trouble.for_s)
+    await harm_for([wire], pick_harm(trouble), trouble.for_s)
     return program.name
--- a/benchmarks/soak/wire.py
+++ b/benchmarks/soak/wire.py
@@ -3,7 +3,7 @@
 import socket
 import struct
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import final
 
 import anyio
@@ -51,7 +51,7 @@
     client: SocketStream
     server: SocketStream
     name: str = EVERYONE
-    is_named: bool = field(default=False)
+    is_named: bool = False
 
 
 @final
--- a/benchmarks/soak/world.py
+++ b/benchmarks/soak/world.py
@@ -4,22 +4,21 @@
 from typing import final
 
 import anyio
-import msgspec
 from anyio.abc import TaskGroup
 
-from benchmarks.soak.caller import CONSISTENCIES, Caller
+from benchmarks.soak.caller import Caller
 from benchmarks.soak.history import History, VersionSeen
 from benchmarks.soak.program import Program
-from benchmarks.soak.promises import STALENESS_S
 from benchmarks.soak.wire import Wire
 from catkincrank.platform.documents import CONFIG_KEY, CONFIG_TABLE
 from catkincrank.platform.standin import PlatformStandIn
+from catkincrank.platform.trial import ENDPOINTS, SERVICE, make_config
 from catkincrank.standins.linegroup import LineGroup
 
 __all__ = ('World',)
 
-_SERVICE = 'ledger'
-_ENDPOINTS = ('i-a', 'i-b', 'i-c')
+# Time of a statement; each configuration adds a millisecond to differ.
+_TIMEOUT_MS = 800
 # Connections that an endpoint takes: with the smaller figure some gateways
 # carry statements for the others.
 _CONNECTIONS = (23, 4)
@@ -30,7 +29,6 @@
 _START_LIMIT_S = 60
 # RULES: `recovery_s` is 15 s; the rest is for a machine with other work.
 _RECOVERY_LIMIT_S = 45
-_MS = 1000
 
 
 @final
@@ -63,14 +61,14 @@
         callers: int,
     ) -> None:
         self.history = History()
-        self.group = LineGroup(_SERVICE, _ENDPOINTS)
+        self.group = LineGroup(SERVICE, ENDPOINTS)
         self.work_s = self.group.leader.work_s
-        self.platform = PlatformStandIn({_SERVICE: self.group})
+        self.platform = PlatformStandIn({SERVICE: self.group})
         self.settings_version = 0
         self._connections = _CONNECTIONS[seed % len(_CONNECTIONS)]
         self.programs: list[Program] = []
         names = ['vm-{0}'.format(number) for number in range(gateways)]
-        self.endpoint_wires = self._make_wires(_ENDPOINTS)
+        self.endpoint_wires = self._make_wires(ENDPOINTS)
         self.store_wires = {one: self._make_wire('store') for one in names}
         self.promoter_wires = {one: self._make_wire('promote') for one in names}
         self._folder = folder
@@ -86,7 +84,11 @@
     def write_settings(self) -> None:
         """Write a configuration with a higher version."""
         self.settings_version += 1
-        body = make_settings(self.settings_version, self._connections)
+        body = make_config(
+            self.settings_version,
+            self._connections,
+            _TIMEOUT_MS + self.settings_version,
+        )
         self.platform.rows.write(CONFIG_TABLE, [], {CONFIG_KEY: body})
 
     async def start(self, tasks: TaskGroup) -> None:
@@ -147,7 +149,7 @@
         state = await program.fetch_state()
         if state is None or not program.is_open:
             return False
-        record = state['groups'].get(_SERVICE)
+        record = state['groups'].get(SERVICE)
         is_led = record is not None and record['granted']
         is_newest = state['configuration'] == self.settings_version
         return is_led and is_newest
@@ -187,27 +189,3 @@
 
     def _make_wire(self, target: str) -> Wire:
         return Wire(lambda: self.platform.ports[target])
-
-
-def make_settings(version: int, connections: int) -> bytes:
-    """Return a configuration with a route of each type."""
-    return msgspec.json.encode(
-        {
-            'version': version,
-            'routes': [
-                {
-                    'name': name,
-                    'host': name,
-                    'type': kind,
-                    'service': _SERVICE,
-                    'timeout_ms': 800 + version,
-                    'max_staleness_ms': STALENESS_S[kind] * _MS,
-                }
-                for name, kind in CONSISTENCIES.items()
-            ],
-            'services': [
-                {'name': _SERVICE, 'max_connections': connections},
-            ],
-            'limits': {'tx_idle_ms': 3000},
-        },
-    )
--- a/catkincrank/commands/explain.py
+++ b/catkincrank/commands/explain.py
@@ -2,7 +2,8 @@
 
 import itertools
 import time
-from typing import Annotated
+from collections.abc import Callable, Sequence
+from typing import Annotated, Any
 
 import anyio
 import typer
@@ -48,11 +49,7 @@
     if not story:
         typer.echo('no line is about {0}'.format(subject))
         return
-    began = story[0].at
-    stamp = time.strftime(_STAMP, time.gmtime(began))
-    typer.echo('{0}: began {1} UTC'.format(subject, stamp))
-    for line in story:
-        typer.echo(describe_line(line, began))
+    _tell(subject, story, describe_line)
 
 
 def _tell_failover(group: str, admin: str) -> None:
@@ -64,8 +61,16 @@
     if not failover:
         typer.echo('no failover of {0} is on record'.format(group))
         return
-    began = failover[0].at
+    _tell(group, failover, describe_event)
+
+
+def _tell(
+    subject: str,
+    events: Sequence[Any],
+    describe: Callable[[Any, float], str],
+) -> None:
+    began = events[0].at
     stamp = time.strftime(_STAMP, time.gmtime(began))
-    typer.echo('{0}: began {1} UTC'.format(group, stamp))
-    for event in failover:
-        typer.echo(describe_event(event, began))
+    typer.echo('{0}: began {1} UTC'.format(subject, stamp))
+    for event in events:
+        typer.echo(describe(event, began))
--- a/catkincrank/platform/trial.py
+++ b/catkincrank/platform/trial.py
@@ -23,13 +23,20 @@
 from catkincrank.platform.standin import PlatformStandIn
 from catkincrank.standins.linegroup import LineGroup
 
-__all__ = ('TrialFlags', 'make_config', 'run')
+__all__ = (
+    'ENDPOINTS',
+    'ROUTES',
+    'SERVICE',
+    'TrialFlags',
+    'make_config',
+    'run',
+)
 
 _HOST = '127.0.0.1'
-_SERVICE = 'ledger'
-_ENDPOINTS = ('i-a', 'i-b', 'i-c')
+SERVICE = 'ledger'
+ENDPOINTS = ('i-a', 'i-b', 'i-c')
 _NAMES = ('vm-1', 'vm-2', 'vm-3')
-_ROUTES = {  # noqa: WPS407
+ROUTES = {  # noqa: WPS407
     'strong': 'primary',
     'bounded': 'bounded_staleness',
     'own': 'read_your_writes',
@@ -39,6 +46,8 @@
 _KILL_AT = 0.3
 _DRAIN_AT = 0.7
 _RECONNECT_S = 0.2
+_CONNECTIONS = 23
+_TIMEOUT_MS = 800
 _BROKEN = 1
 _DIGITS = 3
 _ID_BITS = 64
@@ -92,8 +101,8 @@
     Raises:
         SystemExit: A promise was broken.
     """
-    group = LineGroup(_SERVICE, _ENDPOINTS)
-    platform = PlatformStandIn({_SERVICE: group})
+    group = LineGroup(SERVICE, ENDPOINTS)
+    platform = PlatformStandIn({SERVICE: group})
     tally = _Tally()
     async with anyio.create_task_group() as tasks:
         await tasks.start(platform.run)
@@ -189,7 +198,7 @@
     tally: _Tally,
 ) -> None:
     reader = LineReader(stream)
-    database = source.choice(tuple(_ROUTES))
+    database = source.choice(tuple(ROUTES))
     await stream.send(b'STARTUP %b caller\r\n' % database.encode('ascii'))
     await reader.read()
     while True:
@@ -224,23 +233,33 @@
     }
 
 
-def make_config() -> bytes:
-    """Return a configuration with a route of each kind."""
+def make_config(
+    version: int = 1,
+    connections: int = _CONNECTIONS,
+    timeout_ms: int = _TIMEOUT_MS,
+) -> bytes:
+    """Return a configuration with a route of each type.
+
+    Args:
+        version: Its version.
+        connections: Connections that each endpoint takes.
+        timeout_ms: Longest time of a statement, in milliseconds.
+    """
     return msgspec.json.encode(
         {
-            'version': 1,
+            'version': version,
             'routes': [
                 {
                     'name': name,
                     'host': name,
                     'type': kind,
-                    'service': _SERVICE,
-                    'timeout_ms': 800,
+                    'service': SERVICE,
+                    'timeout_ms': timeout_ms,
                     'max_staleness_ms': 1500,
                 }
-                for name, kind in _ROUTES.items()
+                for name, kind in ROUTES.items()
             ],
-            'services': [{'name': _SERVICE, 'max_connections': 23}],
+            'services': [{'name': SERVICE, 'max_connections': connections}],
             'limits': {'tx_idle_ms': 3000},
         },
     )
