Use an endpoint's pool again when its registration returns

Registrations lapse while the platform's store is away and come back soon after. A pool that still had a link in use was marked as leaving and never unmarked, so the VM refused every statement for that endpoint until it was restarted.

--- a/catkincrank/gateway/linkpools.py
+++ b/catkincrank/gateway/linkpools.py
@@ -194,6 +194,7 @@
                 share = find_share(entry)
                 pool.parked_links.share = share
                 pool.runner.pool.change_options(_select_options(share))
+                pool.runner.set_leaving(is_leaving=False)
                 continue
             pool.runner.set_leaving(is_leaving=True)
             if not pool.runner.pool.held:
--- a/tests/test_gateway_linkpools.py
+++ b/tests/test_gateway_linkpools.py
@@ -77,3 +77,43 @@
         return len(served) == VMS
 
     assert virtualtime.run(scenario) is all_served
+
+
+@pytest.mark.parametrize('is_held', [False, True])
+def test_endpoint_whose_registration_returns_gets_statements_again(is_held):
+    """Guards against a pool that stays retired after its endpoint returns.
+
+    Registrations lapse while the platform's store is away and are back soon
+    after it. A pool with a link in use at that time was retired for good, and
+    the VM refused every statement for the endpoint. Found by the day file
+    late-answers.
+    """
+
+    async def scenario():
+        group = MemoryEndpointGroup('svc', ('a',))
+        entry = group.list_entries()[0]
+        roster = {entry.endpoint_id: entry}
+        async with anyio.create_task_group() as tasks:
+            pools = LinkPools(MemoryDriver({'svc': group}, []), 'vm', tasks)
+
+            def configure():
+                pools.configure(roster.get, lambda _: ConnectionShare(2, 2))
+
+            async def borrow():
+                deadline = anyio.current_time() + 0.8
+                return await pools.borrow(entry, LinkRequest('r', 1, deadline))
+
+            configure()
+            held = await borrow()
+            if not is_held:
+                held.give_back()
+            roster.clear()
+            configure()
+            await anyio.sleep(0.1)
+            roster[entry.endpoint_id] = entry
+            configure()
+            again = await borrow()
+            tasks.cancel_scope.cancel()
+            return again.link.is_alive
+
+    assert virtualtime.run(scenario)
