Give a restarted VM its share of connections after 0.6 s

After a power loss of all VMs each kept to one connection per endpoint for 3.3 s, so that the first ones would not take what the dead VMs' connections left. Four VMs that carried the load of seven queued 1 s for a link and refused. Hypothesis: one connection each is needed only until all have one; then an endpoint's own limit may decide.

--- a/catkincrank/gateway/configurator.py
+++ b/catkincrank/gateway/configurator.py
@@ -142,6 +142,6 @@
 
 
 # An endpoint still counts the connections of a VM for 3 s after a power loss.
-# A new process may replace one that failed together with many others, so it
-# opens only one connection to each endpoint until the old ones have expired.
-_STARTUP_S = 3.3
+# When many VMs start at once, each first opens one connection to each endpoint;
+# only then do they compete for what the endpoint accepts beyond that.
+_STARTUP_S = 0.6
