Use endpoints for some time after their registrations lapse

While the store loses or refuses heartbeats, registrations of running endpoints end and come back seconds later; such endpoints got no statement meanwhile, and a primary among them stopped all writes. Hypothesis: an endpoint that still answers may be used as long as one that announces its leave, 5 s.

--- a/catkincrank/gateway/carrierservice.py
+++ b/catkincrank/gateway/carrierservice.py
@@ -78,7 +78,7 @@
         Raises:
             CarrierDeclinedError: It is not registered in this process.
         """
-        entry = self._groups.roster.find(destination.endpoint)
+        entry = self._groups.find_linked(destination.endpoint)
         if entry is not None and Destination.of_entry(entry) == destination:
             return entry
         raise CarrierDeclinedError('unknown endpoint')
--- a/catkincrank/gateway/configurator.py
+++ b/catkincrank/gateway/configurator.py
@@ -82,7 +82,7 @@
                 self._log_registration(roster.find(row.key), entry)
                 roster.put(entry)
                 self._groups.track_leaving(entry, now)
-            elif roster.drop(row.key) is not None:
+            elif roster.drop(row.key, now) is not None:
                 log_event(
                     'endpoint_gone', endpoint=row.key, version=row.version
                 )
@@ -100,7 +100,7 @@
             for service in catalog.services.values()
         }
         self._link_provider.configure(
-            self._groups.roster.find,
+            self._groups.find_linked,
             connections,
             self._list_members(),
             is_new=anyio.current_time() < self._started_at + _STARTUP_S,
--- a/catkincrank/gateway/groups.py
+++ b/catkincrank/gateway/groups.py
@@ -55,10 +55,38 @@
         grant = self.evidence(service).find_grant(now)
         if grant is None:
             return None
-        entry = self.roster.find(grant.endpoint_id)
-        if entry is None or self._has_left(entry, now):
-            return None
-        return grant, entry
+        for entry in self.list_usable(service, now):
+            if entry.endpoint_id == grant.endpoint_id:
+                return None if self._has_left(entry, now) else (grant, entry)
+        return None
+
+    def list_usable(self, service: str, now: float) -> list[EndpointEntry]:
+        """Return the endpoints of a group that may get statements.
+
+        Registrations can lapse although their endpoints are alive: when the
+        store loses or refuses the endpoints' heartbeats. Those that still
+        answer are used for some time longer.
+        """
+        usable = self.roster.of_service(service)
+        answered_at = self.evidence(service).answered_at
+        usable.extend(
+            entry
+            for entry in self.roster.list_lapsed(now - _LAPSED_USE_S)
+            if entry.service == service
+            and now < answered_at.get(entry.endpoint_id, 0) + _LAPSED_SILENCE_S
+        )
+        return usable
+
+    def find_linked(self, endpoint_id: str) -> EndpointEntry | None:
+        """Return the entry of an endpoint to which links may be open."""
+        entry = self.roster.find(endpoint_id)
+        if entry is not None:
+            return entry
+        now = anyio.current_time()
+        for lapsed in self.roster.list_lapsed(now - _LAPSED_USE_S):
+            if lapsed.endpoint_id == endpoint_id:
+                return lapsed
+        return None
 
     def track_leaving(self, entry: EndpointEntry, now: float) -> None:
         """Record when an endpoint began to leave, or that it stays."""
@@ -107,5 +135,9 @@
 # this: an endpoint must be free of work 7 s after its row says that it leaves,
 # and the row may take up to a second to arrive.
 _LEAVING_USE_S = 5.0
+# An endpoint whose registration has lapsed is used no longer than a leaving
+# one, and only while it goes on answering statements.
+_LAPSED_USE_S = _LEAVING_USE_S
+_LAPSED_SILENCE_S = 1.5
 # Interval at which a task that waits for a grant checks again.
 _GRANT_POLL_S = 0.05
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -283,7 +283,7 @@
             request.arrived_at,
         )
         entry = choose_reader(
-            self._groups.roster.of_service(service),
+            self._groups.list_usable(service, now),
             required,
             request.excluded,
             lambda candidate: self._cost(candidate, now),
--- a/catkincrank/gateway/roster.py
+++ b/catkincrank/gateway/roster.py
@@ -35,31 +35,61 @@
     born_ms: int = 0
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class LapsedEntry:
+    """Registration that is gone from the platform's list.
+
+    Attributes:
+        entry: The registration.
+        lapsed_at: When its removal was read, in seconds.
+    """
+
+    entry: EndpointEntry
+    lapsed_at: float
+
+
 @final
 class Roster:
-    """Registered endpoints."""
+    """Registered endpoints, and those whose registration is gone."""
 
     __slots__ = ('_entries', '_lapsed')
 
     def __init__(self) -> None:
         self._entries: dict[str, EndpointEntry] = {}
-        self._lapsed: dict[str, EndpointEntry] = {}
+        self._lapsed: dict[str, LapsedEntry] = {}
 
     def put(self, entry: EndpointEntry) -> None:
         """Add or replace an entry."""
         self._entries[entry.endpoint_id] = entry
         self._lapsed.pop(entry.endpoint_id, None)
 
-    def drop(self, endpoint_id: str) -> EndpointEntry | None:
+    def drop(self, endpoint_id: str, now: float) -> EndpointEntry | None:
         """Remove an entry; return it if it was there."""
         entry = self._entries.pop(endpoint_id, None)
         if entry is not None:
-            self._lapsed[endpoint_id] = entry
+            self._lapsed[endpoint_id] = LapsedEntry(entry, now)
         return entry
 
     def find_lapsed(self, endpoint_id: str) -> EndpointEntry | None:
         """Return the last entry of an endpoint whose registration is gone."""
-        return self._lapsed.get(endpoint_id)
+        lapsed = self._lapsed.get(endpoint_id)
+        return lapsed and lapsed.entry
+
+    def list_lapsed(self, since: float) -> list[EndpointEntry]:
+        """Return the entries that went after a time without a notice.
+
+        Entries of endpoints that announced their leave are left out, and those
+        whose address has been registered by another endpoint.
+        """
+        taken = {(entry.host, entry.port) for entry in self._entries.values()}
+        return [
+            lapsed.entry
+            for lapsed in self._lapsed.values()
+            if lapsed.lapsed_at > since
+            and not lapsed.entry.is_draining
+            and (lapsed.entry.host, lapsed.entry.port) not in taken
+        ]
 
     def find(self, endpoint_id: str) -> EndpointEntry | None:
         """Return an entry."""
