Keep the fleet's rows in a part of their own

The platform runs the transactions of one part of its store one after another and refuses a part with more than a second of them waiting. The fleet's rows shared the part of the endpoints' registrations: while the store was 60 times slower, heartbeats of nine endpoints filled it, and heartbeats of the lease holder and the rows of a failover got 429 or no answer.

Processes of the build before do not see the rows of this one: stop all VMs before the upgrade.

--- a/catkincrank/platform/store.py
+++ b/catkincrank/platform/store.py
@@ -17,6 +17,7 @@
     row_stores,
 )
 from catkincrank.httpclient import HttpAnswer, HttpClient, HttpError
+from catkincrank.platform.documents import CONFIG_TABLE, ROSTER_TABLE
 
 __all__ = ('PlatformStore',)
 
@@ -28,6 +29,13 @@
 # that takes longer than this limit counts as lost.
 _CALL_TIMEOUT_S = 1.0
 _PAGE_ROWS = 500
+# Tables that the platform and its endpoints write.
+_PLATFORM_TABLES = frozenset((CONFIG_TABLE, ROSTER_TABLE))
+# The platform runs the transactions of one part one after another, and its own
+# tables share the part without a name: a part of our own keeps our writes from
+# queueing behind the heartbeats of all endpoints.
+_PLATFORM_PART = ''
+_OWN_PART = 'catkincrank'
 _MS_PER_S = 1000
 
 
@@ -70,7 +78,7 @@
         while True:
             query = {
                 'table': table,
-                'part': '',
+                'part': _find_part(table),
                 'from': start,
                 'limit': _PAGE_ROWS,
             }
@@ -213,4 +221,9 @@
 
 
 def _make_row(table: str, key: str, **fields: object) -> dict[str, object]:
-    return {'table': table, 'part': '', 'key': key, **fields}
+    return {'table': table, 'part': _find_part(table), 'key': key, **fields}
+
+
+def _find_part(table: str) -> str:
+    """Return the part that holds a table's rows."""
+    return _PLATFORM_PART if table in _PLATFORM_TABLES else _OWN_PART
