Let the endpoints prove the primary while the store is away

Grants end 2.5 s after the last reading of the store, or 6.5 s after the lease holder's last heartbeat while it lives, although nobody can replace a primary then.

Hypothesis: if every endpoint of the group, asked after a moment, knows no later term, no promotion had taken effect at that moment. Then a commit that was answered before may be acknowledged, a strong read that arrived before may run at the primary, and positions taken before are samples. One round serves all statements that wait. Statements that no proof can help are refused after 0.1 s.

--- a/catkincrank/gateway/daemon.py
+++ b/catkincrank/gateway/daemon.py
@@ -20,6 +20,7 @@
 from catkincrank.gateway.link import link_drivers
 from catkincrank.gateway.linkprovider import LinkProvider
 from catkincrank.gateway.options import GatewayOptions
+from catkincrank.gateway.primaryprover import PrimaryProver
 from catkincrank.gateway.rowstore import row_stores
 from catkincrank.gateway.statusserver import StatusServer
 from catkincrank.gateway.storetables import StoreTables
@@ -85,6 +86,9 @@
         self.fleet_monitor = FleetMonitor(
             self.tables.fleet_state.copy, self.session_server
         )
+        self._prover = PrimaryProver(
+            self.groups, self.link_provider, self.metrics
+        )
         self._configurator = Configurator(
             schema,
             self.groups,
@@ -116,6 +120,7 @@
             self.link_provider,
             self.failover,
             self.fleet_monitor,
+            self._prover,
         ):
             self._tasks.start_soon(part.run)
         self._tasks.start_soon(self._share_connections)
--- a/catkincrank/gateway/evidence.py
+++ b/catkincrank/gateway/evidence.py
@@ -11,6 +11,7 @@
 from typing import final
 
 from catkincrank.gateway.position import Position
+from catkincrank.gateway.primaryproof import ProofState
 
 __all__ = ('Grant', 'GroupEvidence')
 
@@ -19,6 +20,7 @@
 _SAMPLE_RETENTION_S = 5.0
 # Samples closer together than this are redundant and are not stored.
 _SAMPLE_SPACING_S = 0.02
+_FOREVER = float('inf')
 
 
 @final
@@ -48,14 +50,17 @@
         positions: Newest known log position of each endpoint.
         answered_at: When each endpoint last answered, in seconds.
         granted_at: When the current primary was first granted, in seconds.
+        proof: Proofs that may take the place of an expired grant.
     """
 
     __slots__ = (
         '_samples',
+        '_unproved',
         'answered_at',
         'grant',
         'granted_at',
         'positions',
+        'proof',
     )
 
     def __init__(self) -> None:
@@ -63,7 +68,10 @@
         self.positions: dict[str, Position] = {}
         self.answered_at: dict[str, float] = {}
         self.granted_at: float = 0
+        self.proof = ProofState()
         self._samples: deque[tuple[float, Position]] = deque()
+        # Samples taken without a grant, which wait for a proof.
+        self._unproved: deque[tuple[float, Position]] = deque()
 
     def find_grant(self, now: float) -> Grant | None:
         """Return the grant if it is valid at ``now``."""
@@ -83,6 +91,20 @@
         grant = self.find_grant(now)
         return grant is not None and grant.term == term
 
+    def covers(self, term: int, at: float, now: float) -> bool:
+        """Return whether the primary of ``term`` was not replaced at a time.
+
+        Either a grant is valid now, or the endpoints have proved it since.
+        """
+        grant = self.grant
+        if grant is None or grant.term != term:
+            return False
+        return now < grant.until or at <= self.proof.proved_at
+
+    def sample_age_s(self, now: float) -> float:
+        """Return the age of the newest sample, in seconds."""
+        return now - self._samples[-1][0] if self._samples else _FOREVER
+
     def apply_grant(self, grant: Grant | None, now: float) -> bool:
         """Replace the grant; return whether the primary changed."""
         before = self.grant
@@ -93,6 +115,8 @@
         if changed:
             self.positions.clear()
             self.granted_at = now
+            self.proof.reset()
+            self._unproved.clear()
         return changed
 
     def record_answer(
@@ -114,13 +138,29 @@
         if position is None:
             return
         self.positions[endpoint_id] = position
-        grant = self.find_grant(now)
+        grant = self.grant
         if grant is None or grant.endpoint_id != endpoint_id:
             return
         # A request sent before the grant may have been answered while the
         # endpoint was still a replica that lacked commits it received later.
-        if sent_at >= self.granted_at:
+        if sent_at < self.granted_at:
+            return
+        if now < grant.until:
             self.add_sample(sent_at, position)
+        elif self.proof.is_allowed:
+            self._hold_sample(sent_at, position)
+
+    def record_proof(self, asked_at: float, position: Position) -> None:
+        """Record a proof, and store the samples that waited for it.
+
+        Args:
+            asked_at: When the endpoints were asked.
+            position: Position of the primary's log in its answer.
+        """
+        self.proof.record_success(asked_at)
+        while self._unproved and self._unproved[0][0] <= asked_at:
+            self.add_sample(*self._unproved.popleft())
+        self.add_sample(asked_at, position)
 
     def add_sample(self, taken_at: float, position: Position) -> None:
         """Store a position of the primary's log as a sample."""
@@ -147,3 +187,11 @@
             if began > written:
                 position = min(position, base)
         return position
+
+    def _hold_sample(self, taken_at: float, position: Position) -> None:
+        """Keep a sample until a proof shows that its endpoint was primary."""
+        held = self._unproved
+        while held and held[0][0] < taken_at - _SAMPLE_RETENTION_S:
+            held.popleft()
+        if not held or taken_at - held[-1][0] >= _SAMPLE_SPACING_S:
+            held.append((taken_at, position))
--- a/catkincrank/gateway/fleetstate.py
+++ b/catkincrank/gateway/fleetstate.py
@@ -143,6 +143,7 @@
         for service in self.records:
             grant = self._make_grant(service)
             evidence = self.groups.evidence(service)
+            evidence.proof.is_allowed = self._may_grant(service)
             if evidence.apply_grant(grant, now):
                 has_changed = True
                 log_event(
@@ -155,15 +156,19 @@
         if has_changed:
             self.groups.notify_waiters()
 
-    def _make_grant(self, service: str) -> Grant | None:
-        record = self.records[service][1]
+    def _may_grant(self, service: str) -> bool:
+        """Return whether the newest reading permits a grant."""
         minimum_version = max(
             self._minimum_versions.get(service, 0),
             self._minimum_versions.get('', 0),
         )
         is_valid = self.is_registered and self.copy.version >= minimum_version
-        if record.is_replacing or not is_valid:
+        return is_valid and not self.records[service][1].is_replacing
+
+    def _make_grant(self, service: str) -> Grant | None:
+        if not self._may_grant(service):
             return self._end_grant(service)
+        record = self.records[service][1]
         return Grant(
             record.primary,
             record.term,
--- a/catkincrank/gateway/forwarding.py
+++ b/catkincrank/gateway/forwarding.py
@@ -16,8 +16,8 @@
 
 __all__ = ('Forwarder',)
 
-# A commit that succeeded waits this long for an expired grant to be renewed:
-# grants are read from the store or a peer twice a second.
+# A commit that succeeded waits this long for an expired grant to be renewed, or
+# for a proof: grants are read from the store or a peer twice a second.
 _GRANT_WAIT_S = 1.0
 # Response time recorded for a failure. An endpoint that fails answers fast,
 # which would attract reads; this is ten times a usual response.
@@ -90,10 +90,10 @@
             StatementFailed: The primary may have been replaced meanwhile.
         """
         until = min(deadline, anyio.current_time() + _GRANT_WAIT_S)
-        if not await self._groups.wait_for_grant(service, term, until):
+        if not await self._groups.wait_for_confirmation(service, term, until):
             raise StatementFailed(
                 Failure.IN_DOUBT,
-                'the grant of the primary expired before its reply arrived',
+                'the primary may have been replaced before its reply arrived',
             )
         session.record_commit(reply.position)
 
--- a/catkincrank/gateway/groups.py
+++ b/catkincrank/gateway/groups.py
@@ -20,7 +20,15 @@
         roster: Registered endpoints.
     """
 
-    __slots__ = ('_changed', '_evidence', '_leaving_since', 'catalog', 'roster')
+    __slots__ = (
+        '_changed',
+        '_evidence',
+        '_leaving_since',
+        '_proof_requested',
+        '_proof_requests',
+        'catalog',
+        'roster',
+    )
 
     def __init__(self) -> None:
         self.catalog: Catalog | None = None
@@ -28,6 +36,8 @@
         self._evidence: dict[str, GroupEvidence] = {}
         self._changed = anyio.Event()
         self._leaving_since: dict[str, float] = {}
+        self._proof_requested = anyio.Event()
+        self._proof_requests: set[str] = set()
 
     def evidence(self, service: str) -> GroupEvidence:
         """Return the evidence about a group."""
@@ -50,10 +60,18 @@
         self,
         service: str,
         now: float,
+        since: float,
     ) -> tuple[Grant, EndpointEntry] | None:
-        """Return the primary while a grant for it is valid."""
-        grant = self.evidence(service).find_grant(now)
-        if grant is None:
+        """Return the primary unless it may have been replaced before a time.
+
+        Args:
+            service: Name of the group.
+            now: Current time.
+            since: Every commit acknowledged before it must be in the log.
+        """
+        evidence = self.evidence(service)
+        grant = evidence.grant
+        if grant is None or not evidence.covers(grant.term, since, now):
             return None
         for entry in self.list_usable(service, now):
             if entry.endpoint_id == grant.endpoint_id:
@@ -88,6 +106,38 @@
                 return lapsed
         return None
 
+    def list_members(self, service: str, now: float) -> list[EndpointEntry]:
+        """Return every endpoint of a group that could be promoted."""
+        return [
+            *self.roster.of_service(service),
+            *(
+                entry
+                for entry in self.roster.list_lapsed(now - _LAPSED_MEMBER_S)
+                if entry.service == service
+            ),
+        ]
+
+    def may_prove(self, service: str, now: float) -> bool:
+        """Return whether a proof may take the place of an expired grant."""
+        evidence = self.evidence(service)
+        if evidence.grant is None or not evidence.proof.is_allowed:
+            return False
+        return now < evidence.grant.until + _MAX_UNGRANTED_S
+
+    def request_proof(self, service: str, now: float) -> None:
+        """Have the endpoints of a group asked whether the primary leads."""
+        if self.may_prove(service, now):
+            self._proof_requests.add(service)
+            self._proof_requested.set()
+
+    async def await_proof_requests(self) -> set[str]:
+        """Return the groups for which proofs were requested since."""
+        await self._proof_requested.wait()
+        self._proof_requested = anyio.Event()
+        requests = self._proof_requests
+        self._proof_requests = set()
+        return requests
+
     def track_leaving(self, entry: EndpointEntry, now: float) -> None:
         """Record when an endpoint began to leave, or that it stays."""
         if entry.is_draining:
@@ -107,23 +157,25 @@
         with anyio.CancelScope(deadline=until):
             await changed.wait()
 
-    async def wait_for_grant(
+    async def wait_for_confirmation(
         self, service: str, term: int, until: float
     ) -> bool:
-        """Return whether a grant for a term is valid or becomes so in time.
+        """Return whether no other primary existed when this was called.
 
         A grant expires when a read of the store is slow or when the failover
-        lease changes its holder; the next reading of the fleet table shows
-        whether the term continues.
+        lease changes its holder; the next reading of the fleet table, or a
+        proof by the endpoints, shows whether the term continues.
         """
+        called_at = anyio.current_time()
         while True:
             now = anyio.current_time()
             evidence = self.evidence(service)
-            if evidence.holds(term, now):
+            if evidence.covers(term, called_at, now):
                 return True
             is_over = evidence.grant is not None and evidence.grant.term > term
             if is_over or now >= until:
                 return False
+            self.request_proof(service, now)
             await self.wait(min(until, now + _GRANT_POLL_S))
 
     def _has_left(self, entry: EndpointEntry, now: float) -> bool:
@@ -139,5 +191,10 @@
 # one, and only while it goes on answering statements.
 _LAPSED_USE_S = _LEAVING_USE_S
 _LAPSED_SILENCE_S = 1.5
+# An endpoint that is gone for longer than this is not asked for a proof.
+_LAPSED_MEMBER_S = 30.0
+# Without any reading of the store for this long, a process may not know all
+# endpoints that can be promoted.
+_MAX_UNGRANTED_S = 60.0
 # Interval at which a task that waits for a grant checks again.
 _GRANT_POLL_S = 0.05
--- a/catkincrank/gateway/linkprovider.py
+++ b/catkincrank/gateway/linkprovider.py
@@ -7,13 +7,15 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from catkincrank.errors import EndpointError
 from catkincrank.gateway.carriers import Carriers, ConnectionShare
 from catkincrank.gateway.fleetrecords import MemberRecord
-from catkincrank.gateway.link import LinkDriver
+from catkincrank.gateway.link import EndpointState, LinkDriver
 from catkincrank.gateway.linkpools import BorrowedLink, LinkPools, LinkRequest
 from catkincrank.gateway.remotelink import RemoteDriver
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.pool import PoolState
+from catkincrank.verdict import RequestError
 
 __all__ = ('LinkProvider',)
 
@@ -93,6 +95,26 @@
         borrowed.link.apply_link_request(link_request)
         return borrowed
 
+    async def fetch_state(
+        self, entry: EndpointEntry, limit_s: float
+    ) -> EndpointState | None:
+        """Return an endpoint's state, asked over a direct link.
+
+        Returns ``None`` without an answer within ``limit_s``, or if this
+        process reaches the endpoint only through carriers.
+        """
+        now = anyio.current_time()
+        if self._carriers.find(entry, now) is not None:
+            return None
+        link_request = LinkRequest('', 0, now + limit_s)
+        with anyio.move_on_after(limit_s):
+            try:
+                borrowed = await self.direct_pools.borrow(entry, link_request)
+            except (EndpointError, RequestError):
+                return None
+            return await _fetch_state(borrowed)
+        return None
+
     def count_requests(self, entry: EndpointEntry) -> int:
         """Return how many statements hold or await a link to an endpoint."""
         return self.direct_pools.count_requests(
@@ -117,5 +139,18 @@
         return ConnectionShare(1, 1, share.is_contended) if is_new else share
 
 
+async def _fetch_state(borrowed: BorrowedLink) -> EndpointState | None:
+    try:
+        state = await borrowed.link.fetch_state()
+    except EndpointError:
+        borrowed.discard(is_lost=True)
+        return None
+    except BaseException:
+        borrowed.discard(is_lost=True)
+        raise
+    borrowed.give_back()
+    return state
+
+
 def _share_remote(_entry: EndpointEntry) -> ConnectionShare:
     return ConnectionShare(_MAX_CARRIER_LINKS, _MAX_CARRIER_LINKS)
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -32,6 +32,8 @@
 # A failover usually completes within this time; once a group has been without a
 # primary for longer, statements are refused early so that callers retry later.
 _MAX_PRIMARY_GAP_S = 2.5
+# Proofs that have failed for this long are not expected to succeed soon.
+_MAX_PROOF_GAP_S = 0.5
 # Even then a statement waits this long, which spreads its caller's retries.
 _MIN_WAIT_S = 0.1
 # Reads prefer replicas, because only the primary can run writes; the primary is
@@ -241,6 +243,7 @@
                     request.refused, self._explain(request, now)
                 )
             request.excluded.clear()
+            self._groups.request_proof(request.route.service, now)
             await self._groups.wait(
                 min(request.deadline, now + _POLL_INTERVAL_S)
             )
@@ -254,8 +257,9 @@
             now - request.arrived_at,
         )
         if request.needs_primary and evidence.find_grant(now) is None:
-            return 'no primary has held a grant for {0:.1f} s; {1}'.format(
+            return 'no primary has held a grant for {0:.1f} s{1}; {2}'.format(
                 evidence.ungranted_s(now),
+                _quote_objection(evidence.proof.objection),
                 attempts,
             )
         return attempts
@@ -263,19 +267,24 @@
     def _is_primary_overdue(
         self, request: PlacementRequest, now: float
     ) -> bool:
-        """Return whether the primary is missing for too long to wait on."""
-        evidence = self._groups.evidence(request.route.service)
-        waited_s = now - request.arrived_at
-        return (
-            evidence.ungranted_s(now) > _MAX_PRIMARY_GAP_S
-            and waited_s > _MIN_WAIT_S
-        )
+        """Return whether the primary is missing for too long to wait on.
+
+        Without a grant, statements wait for proofs until these fail as well.
+        """
+        service = request.route.service
+        evidence = self._groups.evidence(service)
+        if now - request.arrived_at <= _MIN_WAIT_S:
+            return False
+        if self._groups.may_prove(service, now):
+            return evidence.proof.failing_s(now) > _MAX_PROOF_GAP_S
+        return evidence.ungranted_s(now) > _MAX_PRIMARY_GAP_S
 
     def _choose(self, request: PlacementRequest, now: float) -> Choice | None:
         service = request.route.service
         evidence = self._groups.evidence(service)
         if request.needs_primary:
-            return self._choose_primary(service, now)
+            return self._choose_primary(request, now)
+        self._renew_samples(request, now)
         required = require_position(
             request.route,
             evidence,
@@ -289,11 +298,23 @@
             lambda candidate: self._cost(candidate, now),
         )
         if entry is None:
-            return self._choose_primary(service, now)
+            return self._choose_primary(request, now)
         return Choice(entry, required)
 
-    def _choose_primary(self, service: str, now: float) -> Choice | None:
-        found = self._groups.find_primary(service, now)
+    def _renew_samples(self, request: PlacementRequest, now: float) -> None:
+        """Have new samples taken before the newest one is too old."""
+        service = request.route.service
+        evidence = self._groups.evidence(service)
+        if evidence.find_grant(now) is None:
+            renewal_age_s = request.route.max_staleness_s / 2
+            if evidence.sample_age_s(now) > renewal_age_s:
+                self._groups.request_proof(service, now)
+
+    def _choose_primary(
+        self, request: PlacementRequest, now: float
+    ) -> Choice | None:
+        service = request.route.service
+        found = self._groups.find_primary(service, now, request.arrived_at)
         if found is None:
             return None
         grant, entry = found
@@ -306,3 +327,7 @@
         if grant is not None and grant.endpoint_id == entry.endpoint_id:
             expected *= _PRIMARY_COST_FACTOR
         return expected * (1 + self._link_provider.count_requests(entry))
+
+
+def _quote_objection(objection: str) -> str:
+    return ' ({0})'.format(objection) if objection else ''
--- a/tests/gatewaypath.py
+++ b/tests/gatewaypath.py
@@ -12,6 +12,7 @@
 from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.linkprovider import LinkProvider
 from catkincrank.gateway.placement import Placement
+from catkincrank.gateway.primaryprover import PrimaryProver
 from catkincrank.gateway.requestlog import LineBudget, RequestLog
 from catkincrank.gateway.session import Session
 from catkincrank.gateway.sessionserver import SessionServer
@@ -55,6 +56,8 @@
             RequestLog(Metrics(), LineBudget()),
             LineCodec,
         )
+        self._prover = PrimaryProver(self.groups, self.link_provider, Metrics())
+        tasks.start_soon(self._prover.run)
         tasks.start_soon(self.pools.run)
         self._request_count = 0
 
@@ -67,6 +70,10 @@
         self.evidence.apply_grant(Grant(name, term, now + length_s, bases), now)
         self.groups.notify_waiters()
 
+    def count_proofs(self):
+        """Return how many rounds of questions proved the primary."""
+        return self._prover._proofs.labels('proved')._value.get()
+
     def open(self, database):
         return Session(database, 'user')
 
