Compare answers of a proof with the positions known before it

Positions learned during a round were ahead of the states that busy endpoints had reported at its start: the proof failed with 'was restarted without its log'.

--- a/catkincrank/gateway/primaryprover.py
+++ b/catkincrank/gateway/primaryprover.py
@@ -68,6 +68,8 @@
         evidence = self._groups.evidence(service)
         grant = evidence.grant
         asked_at = anyio.current_time()
+        # Positions that are learned later may be newer than an answer.
+        known = dict(evidence.positions)
         states = await self._query(self._groups.list_members(service, asked_at))
         now = anyio.current_time()
         newest = evidence.grant
@@ -76,9 +78,7 @@
         if not self._groups.may_prove(service, now):
             return
         primary = grant.endpoint_id
-        objection = find_objection(
-            primary, grant.term, states, evidence.positions
-        )
+        objection = find_objection(primary, grant.term, states, known)
         self._log_change(service, evidence.proof.objection, objection)
         self._proofs.labels('failed' if objection else 'proved').inc()
         if objection:
--- a/tests/test_load_store_away.py
+++ b/tests/test_load_store_away.py
@@ -246,6 +246,33 @@
     assert _run(scenario) == (None, None, Position(1, 5))
 
 
+def test_writes_during_a_round_do_not_make_it_fail():
+    """Guards against a busy group that seems restarted.
+
+    Positions in answers that arrived during a round were ahead of the states
+    that endpoints had reported at its start.
+    """
+
+    async def scenario(path):
+        evidence = path.evidence
+
+        async def learn_positions():
+            for number in range(1, 200):
+                now = anyio.current_time()
+                for name in ('a', 'b', 'c'):
+                    evidence.record_answer(name, Position(1, number), now, now)
+                await anyio.sleep(0.001)
+
+        async with anyio.create_task_group() as tasks:
+            path.groups.request_proof('svc', anyio.current_time())
+            await anyio.sleep(0)
+            tasks.start_soon(learn_positions)
+            await anyio.sleep(0.1)
+            return path.count_proofs()
+
+    assert _run(scenario) == 1
+
+
 def test_many_waiting_statements_share_a_round_of_questions():
     async def scenario(path):
         async with anyio.create_task_group() as tasks:
