--- a/catkincrank/gateway/primaryprover.py
+++ b/catkincrank/gateway/primaryprover.py
@@ -103,9 +103,9 @@
         return states
 
     def _log_change(self, service: str, before: str, objection: str) -> None:
-        if before != objection:
-            log_event(
-                'primary_unproved' if objection else 'primary_proved',
-                service=service,
-                cause=objection,
-            )
+        if before == objection:
+            return
+        if objection:
+            log_event('primary_unproved', service=service, cause=objection)
+        else:
+            log_event('primary_proved', service=service)
--- a/catkincrank/gateway/roster.py
+++ b/catkincrank/gateway/roster.py
@@ -82,13 +82,16 @@
         Entries of endpoints that announced their leave are left out, and those
         whose address has been registered by another endpoint.
         """
-        taken = {(entry.host, entry.port) for entry in self._entries.values()}
-        return [
+        recent = [
             lapsed.entry
             for lapsed in self._lapsed.values()
-            if lapsed.lapsed_at > since
-            and not lapsed.entry.is_draining
-            and (lapsed.entry.host, lapsed.entry.port) not in taken
+            if lapsed.lapsed_at > since and not lapsed.entry.is_draining
+        ]
+        if not recent:
+            return recent
+        taken = {(entry.host, entry.port) for entry in self._entries.values()}
+        return [
+            entry for entry in recent if (entry.host, entry.port) not in taken
         ]
 
     def find(self, endpoint_id: str) -> EndpointEntry | None:
