Refuse at once what a group without a primary cannot serve

Statements are refused after 0.1 s once a group has had no grant for 2.5 s. The time now counts from the first statement that found no usable primary. Processes that reach endpoints through carriers only ask for no proofs.

--- a/catkincrank/gateway/evidence.py
+++ b/catkincrank/gateway/evidence.py
@@ -21,6 +21,8 @@
 # Samples closer together than this are redundant and are not stored.
 _SAMPLE_SPACING_S = 0.02
 _FOREVER = float('inf')
+# Misses that are further apart than this belong to different outages.
+_MISS_GAP_S = 1.0
 
 
 @final
@@ -54,6 +56,8 @@
     """
 
     __slots__ = (
+        '_missed_at',
+        '_missing_since',
         '_samples',
         '_unproved',
         'answered_at',
@@ -69,6 +73,8 @@
         self.answered_at: dict[str, float] = {}
         self.granted_at: float = 0
         self.proof = ProofState()
+        self._missing_since: float | None = None
+        self._missed_at: float = 0
         self._samples: deque[tuple[float, Position]] = deque()
         # Samples taken without a grant, which wait for a proof.
         self._unproved: deque[tuple[float, Position]] = deque()
@@ -86,6 +92,18 @@
             return 0
         return max(0, now - self.grant.until)
 
+    def record_use(self, *, is_usable: bool, now: float) -> None:
+        """Record whether a statement found a usable primary."""
+        if is_usable:
+            self._missing_since = None
+        elif self._missing_since is None or now > self._missed_at + _MISS_GAP_S:
+            self._missing_since = now
+        self._missed_at = now
+
+    def missing_s(self, now: float) -> float:
+        """Return for how long statements have found no usable primary."""
+        return 0 if self._missing_since is None else now - self._missing_since
+
     def holds(self, term: int, now: float) -> bool:
         """Return whether a grant for ``term`` is valid at ``now``."""
         grant = self.find_grant(now)
--- a/catkincrank/gateway/groups.py
+++ b/catkincrank/gateway/groups.py
@@ -69,14 +69,9 @@
             now: Current time.
             since: Every commit acknowledged before it must be in the log.
         """
-        evidence = self.evidence(service)
-        grant = evidence.grant
-        if grant is None or not evidence.covers(grant.term, since, now):
-            return None
-        for entry in self.list_usable(service, now):
-            if entry.endpoint_id == grant.endpoint_id:
-                return None if self._has_left(entry, now) else (grant, entry)
-        return None
+        found = self._find_confirmed(service, now, since)
+        self.evidence(service).record_use(is_usable=found is not None, now=now)
+        return found
 
     def list_usable(self, service: str, now: float) -> list[EndpointEntry]:
         """Return the endpoints of a group that may get statements.
@@ -178,6 +173,18 @@
             self.request_proof(service, now)
             await self.wait(min(until, now + _GRANT_POLL_S))
 
+    def _find_confirmed(
+        self, service: str, now: float, since: float
+    ) -> tuple[Grant, EndpointEntry] | None:
+        evidence = self.evidence(service)
+        grant = evidence.grant
+        if grant is None or not evidence.covers(grant.term, since, now):
+            return None
+        for entry in self.list_usable(service, now):
+            if entry.endpoint_id == grant.endpoint_id:
+                return None if self._has_left(entry, now) else (grant, entry)
+        return None
+
     def _has_left(self, entry: EndpointEntry, now: float) -> bool:
         since = self._leaving_since.get(entry.endpoint_id)
         return since is not None and now >= since + _LEAVING_USE_S
--- a/catkincrank/gateway/linkprovider.py
+++ b/catkincrank/gateway/linkprovider.py
@@ -95,18 +95,18 @@
         borrowed.link.apply_link_request(link_request)
         return borrowed
 
+    def is_direct(self, entry: EndpointEntry) -> bool:
+        """Return whether this process connects to an endpoint itself."""
+        return self._carriers.find(entry, anyio.current_time()) is None
+
     async def fetch_state(
         self, entry: EndpointEntry, limit_s: float
     ) -> EndpointState | None:
         """Return an endpoint's state, asked over a direct link.
 
-        Returns ``None`` without an answer within ``limit_s``, or if this
-        process reaches the endpoint only through carriers.
+        Returns ``None`` without an answer within ``limit_s``.
         """
-        now = anyio.current_time()
-        if self._carriers.find(entry, now) is not None:
-            return None
-        link_request = LinkRequest('', 0, now + limit_s)
+        link_request = LinkRequest('', 0, anyio.current_time() + limit_s)
         with anyio.move_on_after(limit_s):
             try:
                 borrowed = await self.direct_pools.borrow(entry, link_request)
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -256,9 +256,10 @@
             request.refusal_count,
             now - request.arrived_at,
         )
-        if request.needs_primary and evidence.find_grant(now) is None:
-            return 'no primary has held a grant for {0:.1f} s{1}; {2}'.format(
-                evidence.ungranted_s(now),
+        missing_s = evidence.missing_s(now)
+        if missing_s:
+            return 'no usable primary for {0:.1f} s{1}; {2}'.format(
+                missing_s,
                 _quote_objection(evidence.proof.objection),
                 attempts,
             )
@@ -267,14 +268,13 @@
     def _is_primary_overdue(
         self, request: PlacementRequest, now: float
     ) -> bool:
-        """Return whether the primary is missing for too long to wait on.
-
-        Without a grant, statements wait for proofs until these fail as well.
-        """
+        """Return whether the primary is missing for too long to wait on."""
         service = request.route.service
         evidence = self._groups.evidence(service)
         if now - request.arrived_at <= _MIN_WAIT_S:
             return False
+        if evidence.missing_s(now) > _MAX_PRIMARY_GAP_S:
+            return True
         if self._groups.may_prove(service, now):
             return evidence.proof.failing_s(now) > _MAX_PROOF_GAP_S
         return evidence.ungranted_s(now) > _MAX_PRIMARY_GAP_S
--- a/catkincrank/gateway/primaryprover.py
+++ b/catkincrank/gateway/primaryprover.py
@@ -70,7 +70,10 @@
         asked_at = anyio.current_time()
         # Positions that are learned later may be newer than an answer.
         known = dict(evidence.positions)
-        states = await self._query(self._groups.list_members(service, asked_at))
+        members = self._groups.list_members(service, asked_at)
+        if not all(map(self._link_provider.is_direct, members)):
+            return
+        states = await self._query(members)
         now = anyio.current_time()
         newest = evidence.grant
         if newest is None or newest.term != grant.term:
