Count statements in flight by the slots of their endpoint

The cost of an endpoint for a read was its mean response time times one plus the statements in flight there, as if it ran one at a time. With 5 slots and a near replica 24 ms closer, a second concurrent read went to another region.

--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -326,7 +326,9 @@
         grant = self._groups.evidence(entry.service).grant
         if grant is not None and grant.endpoint_id == entry.endpoint_id:
             expected *= _PRIMARY_COST_FACTOR
-        return expected * (1 + self._link_provider.count_requests(entry))
+        requests = self._link_provider.count_requests(entry)
+        occupied = requests / max(1, entry.slots)
+        return expected * (1 + occupied)
 
 
 def _quote_objection(objection: str) -> str:
