Mend two tests that failed now and then

test_keeper_serves_every_team_by_default asked the admin port as soon as the keeper's own port was open; the admin server starts in a task of its own. It now asks again until its time limit.

A soak's gateway chooses free ports before it binds them, and another gateway may take them in between; the soak then waited 60 s for a process that had ended, the time-out seen once in test_short_soak_keeps_every_invariant. A new test takes a port and fails so without the change: such a process is now started again.

--- a/benchmarks/soak/testbed.py
+++ b/benchmarks/soak/testbed.py
@@ -124,6 +124,7 @@
             self.programs.append(program)
             tasks.start_soon(program.poll_readiness)
         with anyio.fail_after(_START_TIMEOUT_S):
+            await self._restart_ended()
             await self._wait_for_service()
         tasks.start_soon(self._monitor_processes)
         for caller in self._callers:
@@ -148,6 +149,14 @@
         self.history.primary_changes = self.group.primary_changes
         return self.history
 
+    async def _restart_ended(self) -> None:
+        """Start processes again that lost their ports to another process."""
+        for program in self.programs:
+            while not program.is_open:
+                if not program.is_running:
+                    await program.start()  # noqa: WPS476
+                await anyio.sleep(_POLL_S)  # noqa: WPS476
+
     async def _wait_for_service(self) -> None:
         for program in self.programs:
             while not await self._is_serving(program):  # noqa: WPS476
--- a/tests/test_relayservice.py
+++ b/tests/test_relayservice.py
@@ -1,10 +1,11 @@
 import socket
+from contextlib import suppress
 from dataclasses import replace
 
 import anyio
 import pytest
 
-from catkincrank.adminclient import AdminAddress, call
+from catkincrank.adminclient import AdminAddress, AdminError, call
 from catkincrank.errors import OptionError
 from catkincrank.feedclient import KeeperAddress
 from catkincrank.keeper import serve
@@ -67,10 +68,15 @@
 
 
 async def wait_for_settings(address):
+    """Return the state once the keeper has settings.
+
+    The admin port opens in a task of its own, perhaps after the keeper's port.
+    """
     while True:
-        state = await call(address, 'GET', '/state')
-        if state['settings']['age_s'] is not None:
-            return state
+        with suppress(AdminError):
+            state = await call(address, 'GET', '/state')
+            if state['settings']['age_s'] is not None:
+                return state
         await anyio.sleep(0.1)
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,13 @@
 """Violations are found in given records, and a short soak has none."""
 
+import signal
+import socket
 from types import SimpleNamespace
 
 import anyio
 import pytest
 
+from benchmarks.soak import program, testbed
 from benchmarks.soak.history import (
     Attempt,
     Cut,
@@ -250,3 +253,35 @@
     history = anyio.run(run_seed, seed, size, tmp_path)
     assert find_violations(history) == []
     assert any(one.outcome is Outcome.DONE for one in history.attempts.values())
+
+
+def test_gateway_whose_ports_were_taken_is_started_again(tmp_path, monkeypatch):
+    """Guards against a soak that waits for a process that has ended.
+
+    Ports are free when they are chosen, but another process may bind them
+    before the gateway does.
+    """
+    find_ports = program._find_ports
+    with socket.socket() as taken:
+        taken.bind(('127.0.0.1', 0))
+        taken.listen()
+        first = taken.getsockname()[1]
+        choices = [(first, *find_ports()[:3])]
+        monkeypatch.setattr(
+            program,
+            '_find_ports',
+            lambda: choices.pop() if choices else find_ports(),
+        )
+        monkeypatch.setattr(testbed, '_START_TIMEOUT_S', 20)
+
+        async def start():
+            bed = testbed.Testbed(1, tmp_path, 1, 0)
+            async with anyio.create_task_group() as tasks:
+                try:
+                    await bed.start(tasks)
+                finally:
+                    await bed.programs[0].stop(signal.SIGKILL)
+                tasks.cancel_scope.cancel()
+            return bed.programs[0].incarnation
+
+        assert anyio.run(start) == 2
