Forget failed proofs once a grant is back

A round that was under way when a grant came back recorded its failure, and a renewed grant kept the failures before it: in the next outage, perhaps minutes later, statements were refused after 0.1 s, before a proof could succeed. Found by reading the change.

--- a/catkincrank/gateway/evidence.py
+++ b/catkincrank/gateway/evidence.py
@@ -135,6 +135,8 @@
             self.granted_at = now
             self.proof.reset()
             self._unproved.clear()
+        elif now < grant.until:
+            self.proof.forget_failures()
         return changed
 
     def record_answer(
--- a/catkincrank/gateway/linkprovider.py
+++ b/catkincrank/gateway/linkprovider.py
@@ -104,7 +104,8 @@
     ) -> EndpointState | None:
         """Return an endpoint's state, asked over a direct link.
 
-        Returns ``None`` without an answer within ``limit_s``.
+        Returns ``None`` without an answer within ``limit_s``; the caller logs
+        what follows from that.
         """
         link_request = LinkRequest('', 0, anyio.current_time() + limit_s)
         with anyio.move_on_after(limit_s):
--- a/catkincrank/gateway/primaryproof.py
+++ b/catkincrank/gateway/primaryproof.py
@@ -45,14 +45,17 @@
     def reset(self) -> None:
         """Forget the proofs about an earlier primary."""
         self.proved_at = _NEVER
+        self.forget_failures()
+
+    def forget_failures(self) -> None:
+        """Forget failed proofs, as a grant or a later proof overrides them."""
         self.objection = ''
         self.failing_since = None
 
     def record_success(self, asked_at: float) -> None:
         """Record that every endpoint confirmed the primary."""
         self.proved_at = max(self.proved_at, asked_at)
-        self.objection = ''
-        self.failing_since = None
+        self.forget_failures()
 
     def record_failure(self, objection: str, now: float) -> None:
         """Record why a proof failed."""
--- a/catkincrank/gateway/primaryprover.py
+++ b/catkincrank/gateway/primaryprover.py
@@ -75,10 +75,7 @@
             return
         states = await self._query(members)
         now = anyio.current_time()
-        newest = evidence.grant
-        if newest is None or newest.term != grant.term:
-            return
-        if not self._groups.may_prove(service, now):
+        if not self._is_needed(service, grant.term, now):
             return
         primary = grant.endpoint_id
         objection = find_objection(primary, grant.term, states, known)
@@ -90,6 +87,14 @@
             evidence.record_proof(asked_at, states[primary].received)
         self._groups.notify_waiters()
 
+    def _is_needed(self, service: str, term: int, now: float) -> bool:
+        """Return whether a proof is still of use at the end of its round."""
+        evidence = self._groups.evidence(service)
+        is_renewed = evidence.find_grant(now) is not None
+        if is_renewed or evidence.grant.term != term:
+            return False
+        return self._groups.may_prove(service, now)
+
     async def _query(
         self, entries: list[EndpointEntry]
     ) -> dict[str, EndpointState | None]:
--- a/tests/test_load_store_away.py
+++ b/tests/test_load_store_away.py
@@ -157,6 +157,25 @@
     assert took_s < 0.15 * len(texts)
 
 
+@pytest.mark.parametrize(('database', 'texts'), SCRIPTS)
+def test_second_outage_is_not_judged_by_failures_of_the_first(database, texts):
+    """Guards against refusals by a proof that failed before the last grant."""
+
+    async def scenario(path):
+        path.group.instances['b'].is_up = False
+        await _time_statement(path, path.open(database), *texts)
+        path.group.instances['b'].is_up = True
+        path.grant('a', length_s=1)
+        path.evidence.proof.is_allowed = True
+        await anyio.sleep(30)
+        # A round of questions takes longer than a refused statement is held.
+        for instance in path.group.instances.values():
+            instance.work_s = 0.11
+        return (await _time_statement(path, path.open(database), *texts))[0]
+
+    assert set(_run(scenario)) == {'ok'}
+
+
 @pytest.mark.parametrize(
     'texts',
     [(b'WRITE k v',), (b'BEGIN', b'WRITE k v', b'COMMIT')],
