--- a/benchmarks/soak/plan.py
+++ b/benchmarks/soak/plan.py
@@ -7,7 +7,14 @@
 
 from catkincrank.registry import Registry
 
-__all__ = ('DisruptionKind', 'Disruption', 'draw_plan', 'kinds')
+__all__ = (
+    'DisruptionKind',
+    'Disruption',
+    'draw_plan',
+    'draw_restorations',
+    'kinds',
+    'restorations',
+)
 
 _MAX_KINDS = 4
 _MAX_SERIES_COUNT = 9
@@ -18,6 +25,7 @@
 # Share of soaks with planned work only, in which no request may be cut.
 _PLANNED_SHARE = 0.2
 _SERIES_LENGTH = 3
+_MAX_RESTORATIONS = 3
 
 
 @final
@@ -55,6 +63,8 @@
 
 
 kinds: Registry[DisruptionKind] = Registry('kind of disruption')
+# Drawn apart from the others, so that older seeds keep their plans.
+restorations: Registry[DisruptionKind] = Registry('restoration')
 
 
 def draw_plan(seed: int, seconds: float) -> list[Disruption]:
@@ -71,6 +81,21 @@
     return sorted(plan, key=lambda one: one.at_s)
 
 
+def draw_restorations(seed: int, seconds: float) -> list[Disruption]:
+    """Return the restorations of the store that are added to a plan."""
+    source = random.Random('restorations {0}'.format(seed))
+    return [
+        Disruption(
+            source.choice(restorations.names()),
+            source.uniform(_EARLIEST_S, seconds),
+            source.uniform(0, _SERIES_LENGTH),
+            source.random(),
+            source.random(),
+        )
+        for _ in range(source.randint(1, _MAX_RESTORATIONS))
+    ]
+
+
 def _draw_series(
     source: random.Random,
     kind: str,
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -26,15 +26,27 @@
     gatewaydisruptions,
     storedisruptions,
 )
+from benchmarks.soak import restorations as restorationkinds
 from benchmarks.soak.history import History, Span
 from benchmarks.soak.invariants import find_violations
-from benchmarks.soak.plan import Disruption, draw_plan, kinds
+from benchmarks.soak.plan import (
+    Disruption,
+    draw_plan,
+    draw_restorations,
+    kinds,
+    restorations,
+)
 from benchmarks.soak.testbed import Testbed
 
 __all__ = ('SoakSize', 'run_seed')
 
 # Importing these modules registers their kinds of disruption.
-_KINDS = (endpointdisruptions, gatewaydisruptions, storedisruptions)
+_KINDS = (
+    endpointdisruptions,
+    gatewaydisruptions,
+    restorationkinds,
+    storedisruptions,
+)
 _SHOWN_VIOLATIONS = 3
 # Ends disruptions that outlast the plan.
 _DISRUPTION_TIMEOUT_S = 40
@@ -49,16 +61,20 @@
         seconds: Period in which disruptions begin, in seconds.
         gateways: Number of gateways.
         callers: Number of callers.
+        restores: Whether the store also returns from older copies.
     """
 
     seconds: float = 12
     gateways: int = 3
     callers: int = 16
+    restores: bool = False
 
 
 async def run_seed(seed: int, size: SoakSize, folder: Path) -> History:
     """Run one soak and return its records."""
     plan = draw_plan(seed, size.seconds)
+    if size.restores:
+        plan.extend(draw_restorations(seed, size.seconds))
     testbed = Testbed(seed, folder, size.gateways, size.callers)
     try:  # noqa: WPS501
         async with anyio.create_task_group() as tasks:
@@ -88,7 +104,9 @@
     testbed: Testbed, disruption: Disruption, began_at: float
 ) -> None:
     await anyio.sleep_until(began_at + disruption.at_s)
-    kind = kinds.find(disruption.kind)
+    is_restoration = disruption.kind in restorations.names()
+    registry = restorations if is_restoration else kinds
+    kind = registry.find(disruption.kind)
     begins_at = anyio.current_time()
     target = ''
     with anyio.move_on_after(_DISRUPTION_TIMEOUT_S):
@@ -153,8 +171,11 @@
     parser.add_argument('--seconds', type=float, default=defaults.seconds)
     parser.add_argument('--gateways', type=int, default=defaults.gateways)
     parser.add_argument('--callers', type=int, default=defaults.callers)
+    parser.add_argument('--restores', action='store_true')
     flags = parser.parse_args()
-    size = SoakSize(flags.seconds, flags.gateways, flags.callers)
+    size = SoakSize(
+        flags.seconds, flags.gateways, flags.callers, flags.restores
+    )
     parent = Path(tempfile.mkdtemp(prefix='soak-'))
     sys.stdout.write('logs of broken seeds: {0}\n'.format(parent))
     seeds = range(flags.first, flags.first + flags.seeds)
--- a/benchmarks/soak/testbed.py
+++ b/benchmarks/soak/testbed.py
@@ -67,6 +67,7 @@
         self.work_s = self.group.newest_primary.work_s
         self.platform = PlatformStandIn({SERVICE: self.group})
         self.settings_version = 0
+        self._settings = b''
         self._connections = _CONNECTIONS[seed % len(_CONNECTIONS)]
         self.programs: list[Program] = []
         names = ['vm-{0}'.format(number) for number in range(gateways)]
@@ -95,8 +96,17 @@
             self._connections,
             _TIMEOUT_MS + self.settings_version,
         )
+        self._settings = body
         self.platform.rows.write(CONFIG_TABLE, [], {CONFIG_KEY: body})
 
+    def rewrite_rows(self) -> None:
+        """Write the rows of the operator and the endpoints again."""
+        if self._settings:
+            self.platform.rows.write(
+                CONFIG_TABLE, [], {CONFIG_KEY: self._settings}
+            )
+        self.platform.register_all()
+
     async def start(self, tasks: TaskGroup) -> None:
         """Start everything; return once callers are served.
 
--- a/catkincrank/gateway/assembly.py
+++ b/catkincrank/gateway/assembly.py
@@ -16,6 +16,7 @@
 from catkincrank.gateway.peermessages import (
     ChangeNotice,
     ReachQuery,
+    RecallRequest,
     RevokeRequest,
     TableQuery,
 )
@@ -110,6 +111,7 @@
         )
         self.peers = PeerServer()
         self.peers.handle(RevokeRequest, revocation.answer)
+        self.peers.handle(RecallRequest, revocation.answer_recall)
         self.peers.handle(TableQuery, self.relay.answer)
         self.peers.handle(ChangeNotice, self.relay.answer_notice)
         self.peers.handle(ReachQuery, self.monitor.answer)
--- a/catkincrank/gateway/configurator.py
+++ b/catkincrank/gateway/configurator.py
@@ -78,13 +78,22 @@
         now = anyio.current_time()
         for row in changed:
             entry = row.body and self._schema.decode_entry(row.key, row.body)
-            if entry:
+            era = row.revision.era
+            if entry and roster.is_outdated(entry, era):
+                log_event(
+                    'registration_outdated',
+                    endpoint=entry.endpoint_id,
+                    version=str(row.revision),
+                )
+            elif entry:
                 self._log_registration(roster.find(row.key), entry)
-                roster.put(entry)
+                roster.put(entry, era)
                 self._groups.track_leaving(entry, now)
-            elif roster.drop(row.key, now) is not None:
+            elif roster.drop(row.key, now, era) is not None:
                 log_event(
-                    'endpoint_gone', endpoint=row.key, version=row.version
+                    'endpoint_gone',
+                    endpoint=row.key,
+                    version=str(row.revision),
                 )
         if changed:
             self.divide_connections()
@@ -113,7 +122,7 @@
             log_event(
                 'configuration_unreadable',
                 'ERROR',
-                version=row.version,
+                version=str(row.revision),
                 cause=str(error),
             )
             return
@@ -122,7 +131,7 @@
                 'configuration_accepted',
                 version=catalog.version,
                 routes=len(catalog.routes),
-                row_version=row.version,
+                row_version=str(row.revision),
             )
             self.divide_connections()
 
--- a/catkincrank/gateway/failoverlease.py
+++ b/catkincrank/gateway/failoverlease.py
@@ -4,7 +4,6 @@
 lines and metrics call it the duty.
 """
 
-import random
 from typing import final
 
 import anyio
@@ -14,13 +13,13 @@
 from catkincrank.gateway.fleetrecords import (
     FLEET_TABLE,
     HEARTBEAT_KEY,
-    HOLDER_KEY,
-    HolderRecord,
-    encode_record,
 )
-from catkincrank.gateway.fleetstate import GRANT_DURATION_S, FleetState
+from catkincrank.gateway.fleetstate import FleetState
+from catkincrank.gateway.grants import GRANT_DURATION_S
+from catkincrank.gateway.leaserows import HeldLease
 from catkincrank.gateway.revocation import HOLDER_EXTENSION_S, Revocation
-from catkincrank.gateway.rowstore import Changes, Condition, RowStore
+from catkincrank.gateway.rowstore import Changes, RowStore
+from catkincrank.gateway.takeover import LeaseTakeover, Takeover
 from catkincrank.logs import log_event
 
 __all__ = ('FailoverLease',)
@@ -28,11 +27,6 @@
 # Interval of the holder's heartbeats, in seconds: three per grant, as each
 # heartbeat renews the grants that other processes get from the holder.
 _HEARTBEAT_INTERVAL_S = 0.8
-# The lease expires without a heartbeat for this long, in seconds: three
-# intervals and the time that a slow store takes.
-_LEASE_TIMEOUT_S = 3.0
-# Random delay before a takeover, in seconds, so that contenders do not collide.
-_TAKEOVER_JITTER_S = 0.6
 _STEP_INTERVAL_S = 0.2
 _SETTLED_POLL_S = 0.05
 # Members poll the holder twice a second. A member that has not polled for this
@@ -42,6 +36,9 @@
 # A confirmation that took longer than this, a third of the lease time-out, is
 # not accepted and has to be requested again.
 _CONFIRM_LIMIT_S = 1.0
+# A promotion that an unknown holder of the earlier era confirmed just before
+# takes effect within this time.
+_PROMOTION_LIMIT_S = _CONFIRM_LIMIT_S + 1.0
 
 
 @final
@@ -54,8 +51,11 @@
         revocation: Revokes the grants of other processes.
 
     Attributes:
-        token: Fencing token; 0 while this process does not hold the lease.
+        held: The lease; ``None`` while this process does not hold it.
         is_settled: Whether no grant from an earlier holder is valid.
+        may_confirm: Whether what is known of the groups from before the store
+            was restored is complete, so that their rows may be confirmed.
+        knows_all: Whether no other process held the lease just before that.
     """
 
     __slots__ = (
@@ -66,8 +66,11 @@
         '_revocation',
         '_settled_at',
         '_store',
+        '_takeover',
+        'held',
         'is_settled',
-        'token',
+        'knows_all',
+        'may_confirm',
     )
 
     def __init__(
@@ -83,16 +86,27 @@
         self._confirmed_at: float = 0
         self._pruned_at: float = 0
         self._settled_at: float = 0
-        self.token = 0
+        self._takeover = LeaseTakeover(store, fleet)
+        self.held: HeldLease | None = None
         self.is_settled = False
+        self.may_confirm = False
+        self.knows_all = False
+
+    @property
+    def token(self) -> int:
+        """Fencing token; 0 while this process does not hold the lease."""
+        return 0 if self.held is None else self.held.token
 
     @property
     def is_held(self) -> bool:
         """Whether this process holds the lease, as far as it knows."""
         holder = self._fleet.holder
-        if not self.token or holder is None:
+        if self.held is None or holder is None:
             return False
-        return max(holder[0], self._fleet.takeover_version) <= self.token
+        newest = max(holder[0], self._fleet.grants.takeover_revision)
+        if self._is_lease_of_earlier_era():
+            return False
+        return newest <= self.held.revision
 
     def may_extend_grants(self, now: float) -> bool:
         """Return whether grants may be extended without reading the store."""
@@ -102,10 +116,12 @@
 
     def step_down(self, cause: str) -> None:
         """Stop acting as the lease holder."""
-        if self.token:
+        if self.held is not None:
             log_event('duty_lost', token=self.token, cause=cause)
-        self.token = 0
+        self.held = None
         self.is_settled = False
+        self.may_confirm = False
+        self.knows_all = False
 
     async def wait_settled(self) -> bool:
         """Wait until the lease is settled; return whether it is still held."""
@@ -141,118 +157,109 @@
             if now >= self._heartbeat_at + _HEARTBEAT_INTERVAL_S:
                 await self._send_heartbeat(now)
             await self._prune()
-        elif self._is_holder_silent() and await self._confirm_silence():
-            await anyio.sleep(random.uniform(0, _TAKEOVER_JITTER_S))
-            if self._is_holder_silent() and self._is_silence_confirmed():
-                await self._take_over(tasks)
+            return
+        takeover = await self._takeover.attempt()
+        if takeover is not None:
+            self._start(takeover, tasks)
 
     def _check_holder(self) -> None:
-        """Step down if the table names another holder."""
-        if self.token and not self.is_held:
+        """Step down if the lease was taken over, or may have been lost."""
+        if self.held is None or self.is_held:
+            return
+        if self._is_lease_of_earlier_era():
+            if self.is_settled or self.knows_all:
+                self._takeover.continues_until = (
+                    self._confirmed_at + HOLDER_EXTENSION_S
+                )
+            self.step_down('the store was restored from a copy')
+        else:
             self.step_down('another process took over')
 
-    def _is_holder_silent(self) -> bool:
-        """Return whether there is no holder or its heartbeats have stopped."""
+    def _is_lease_of_earlier_era(self) -> bool:
         fleet = self._fleet
-        holder = fleet.holder
-        if holder is None:
-            return fleet.copy.is_loaded
-        if holder[1].name == fleet.own_member.name:
-            # The holder was an earlier process on this VM.
-            return True
-        return (
-            anyio.current_time() > fleet.holder_heartbeat_at + _LEASE_TIMEOUT_S
-        )
+        newest_era = max(fleet.era, fleet.earlier.announced_era)
+        return newest_era > self.held.revision.era
 
-    def _is_silence_confirmed(self) -> bool:
-        """Return whether the store itself was read after the lease time-out."""
-        holder = self._fleet.holder
-        if holder is None or holder[1].name == self._fleet.own_member.name:
-            return True
-        expired_at = self._fleet.holder_heartbeat_at + _LEASE_TIMEOUT_S
-        return self._fleet.copy.store_read_at > expired_at
-
-    async def _confirm_silence(self) -> bool:
-        """Read the store; return whether it shows no newer heartbeat."""
-        if not self._is_silence_confirmed():
-            await self._fleet.copy.try_reload()
-        return self._is_holder_silent() and self._is_silence_confirmed()
-
-    async def _take_over(self, tasks: TaskGroup) -> None:
-        fleet = self._fleet
-        version, previous = self._find_previous()
-        heartbeat_at = fleet.holder_heartbeat_at
-        own_record = HolderRecord(
-            fleet.own_member.name, fleet.own_member.incarnation
-        )
-        try:
-            token = await self._store.write(
-                FLEET_TABLE,
-                [Condition(HOLDER_KEY, version)],
-                {HOLDER_KEY: encode_record(own_record)},
-            )
-        except ConflictError:
-            return
-        except StoreUnavailableError as error:
-            log_event('takeover_unanswered', 'WARNING', cause=str(error))
-            token = await self._find_takeover(own_record)
-        if token:
-            self._become_holder(token)
-            tasks.start_soon(self._settle, token, previous, heartbeat_at)
-
-    def _find_previous(self) -> tuple[int, str]:
-        """Return the version of the holder's row and the holder to wait for."""
-        holder = self._fleet.holder
-        if holder is None:
-            return 0, ''
-        name = holder[1].name
-        return holder[0], '' if name == self._fleet.own_member.name else name
-
-    async def _find_takeover(self, own_record: HolderRecord) -> int:
-        """Return the token if an unanswered takeover took effect, or 0."""
-        if not await self._fleet.copy.try_reload():
-            return 0
-        holder = self._fleet.holder
-        return (
-            holder[0] if holder is not None and holder[1] == own_record else 0
+    def _start(self, takeover: Takeover, tasks: TaskGroup) -> None:
+        """Act as the holder after a takeover."""
+        held = takeover.held
+        self.held = held
+        self.is_settled = False
+        self.may_confirm = False
+        log_event('duty_taken', token=held.token, era=held.revision.era)
+        settle = self._settle
+        if takeover.is_first_of_era:
+            settle = self._settle_era
+        tasks.start_soon(settle, takeover)
+
+    async def _settle(self, takeover: Takeover) -> None:
+        """Wait until no grant of the holder before is valid."""
+        self.may_confirm = True
+        await self._revocation.revoke_holder(
+            takeover.held, takeover.previous, takeover.heartbeat_at
         )
+        self._finish_settling(takeover.held)
 
-    def _become_holder(self, token: int) -> None:
-        self.token = token
-        self.is_settled = False
-        log_event('duty_taken', token=token)
+    async def _settle_era(self, takeover: Takeover) -> None:
+        """Wait until no grant from before the restoration is valid.
 
-    async def _settle(
-        self, token: int, previous: str, heartbeat_at: float
-    ) -> None:
-        await self._revocation.revoke_holder(token, previous, heartbeat_at)
-        if self.token == token:
+        The copy may lack members, and takeovers of processes that may still
+        extend their grants, so the longest possible time is waited for.
+        """
+        taken_at = anyio.current_time()
+        settled_at = taken_at + GRANT_DURATION_S
+        await self._revocation.recall(takeover.held)
+        if not takeover.is_continued:
+            settled_at = taken_at + HOLDER_EXTENSION_S
+            await anyio.sleep_until(taken_at + _PROMOTION_LIMIT_S)
+        if self.held is takeover.held:
+            self.knows_all = takeover.is_continued
+            self.may_confirm = True
+        await anyio.sleep_until(settled_at)
+        self._finish_settling(takeover.held)
+
+    def _finish_settling(self, held: HeldLease) -> None:
+        if self.held is held:
             self.is_settled = True
             self._settled_at = anyio.current_time()
-            log_event('duty_settled', token=token)
+            log_event('duty_settled', token=held.token)
 
     async def _send_heartbeat(self, now: float) -> None:
         self._heartbeat_at = now
-        token = self.token
+        held = self.held
+        if held is None:
+            return
         copy = self._fleet.copy
-        version = copy.version
+        revision = copy.revision
         try:
-            await self._store.write(
-                FLEET_TABLE,
-                [Condition(HOLDER_KEY, token)],
-                {HEARTBEAT_KEY: b'{}'},
+            written = await self._store.write(
+                FLEET_TABLE, held.conditions, {HEARTBEAT_KEY: b'{}'}
             )
         except ConflictError:
-            if self.token == token:
-                self.step_down('the store names another holder')
+            if self.held is held:
+                await self._handle_conflict()
         except StoreUnavailableError as error:
             log_event('beat_failed', 'WARNING', cause=str(error))
         else:
+            if written.era > held.revision.era:
+                # The copy contained the lease, but may lack rows of groups.
+                await copy.try_reload()
+                return
             self._confirmed_at = now
             self._fleet.holder_heartbeat_at = now
             # Only the holder changes the rows of groups, and this process held
             # the lease, so its copy was up to date when the call was made.
-            copy.merge_reading(Changes((), version), now)
+            copy.merge_reading(Changes((), revision), now)
+
+    async def _handle_conflict(self) -> None:
+        """Read why the store refused a write of the holder, and step down.
+
+        Unless the store was restored, another process has taken over.
+        """
+        await self._fleet.copy.try_reload()
+        self._check_holder()
+        if self.held is not None:
+            self.step_down('the store names another holder')
 
     async def _prune(self) -> None:
         """Remove members that are gone, so that no process waits for them."""
@@ -264,4 +271,4 @@
         self._pruned_at = now
         gone = self._fleet.list_silent(now - _MEMBER_TIMEOUT_S)
         if gone:
-            await self._revocation.remove(gone, self.token)
+            await self._revocation.remove(gone, self.held)
--- a/catkincrank/gateway/fleetmonitor.py
+++ b/catkincrank/gateway/fleetmonitor.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from catkincrank.gateway.fleetstate import GRANT_DURATION_S
+from catkincrank.gateway.grants import GRANT_DURATION_S
 from catkincrank.gateway.sessionserver import SessionServer
 from catkincrank.gateway.tablecopy import TableCopy
 from catkincrank.logs import log_event
@@ -57,7 +57,7 @@
 
     def _handle_regained(self) -> None:
         if self._lost_at is not None:
-            log_event('fleet_regained', version=self._fleet.version)
+            log_event('fleet_regained', version=str(self._fleet.revision))
         self._lost_at = None
         self._has_closed_sessions = False
 
@@ -65,7 +65,9 @@
         now = anyio.current_time()
         if self._lost_at is None:
             self._lost_at = now
-            log_event('fleet_lost', 'WARNING', version=self._fleet.version)
+            log_event(
+                'fleet_lost', 'WARNING', version=str(self._fleet.revision)
+            )
         if (
             now >= self._lost_at + _CLOSE_SESSIONS_AFTER_S
             and not self._has_closed_sessions
--- a/catkincrank/gateway/fleetrecords.py
+++ b/catkincrank/gateway/fleetrecords.py
@@ -18,6 +18,7 @@
     'decode_member',
     'encode_record',
     'group_key',
+    'lease_key',
     'member_key',
 )
 
@@ -27,6 +28,7 @@
 HEARTBEAT_KEY: Final = 'beat'
 _GROUP_PREFIX = 'group/'
 _MEMBER_PREFIX = 'member/'
+_LEASE_PREFIX = 'lease/'
 # Terms whose first position is stored. A session that is idle during more
 # changes of primary than this does not detect rollbacks at the oldest ones.
 _MAX_BASES = 16
@@ -34,15 +36,19 @@
 
 @final
 class HolderRecord(msgspec.Struct, frozen=True):
-    """Holder of the failover lease; the row's version is the fencing token.
+    """Holder of the failover lease.
 
     Attributes:
         name: Name of the VM.
         incarnation: Identifier of the process, new at each start.
+        lease: Identifier of the lease, new at each takeover.
+        era: Era of the store in which the lease was taken over.
     """
 
     name: str
     incarnation: str
+    lease: str = ''
+    era: int = 0
 
 
 @final
@@ -77,6 +83,7 @@
             is given for it.
         bases: Where the log of each term began: the term, then the term and
             number of the position.
+        era: Era of the store in which a lease holder last confirmed the record.
     """
 
     service: str
@@ -85,6 +92,11 @@
     term: int
     is_replacing: bool = False
     bases: tuple[tuple[int, int, int], ...] = ()
+    era: int = 0
+
+    def confirm(self, era: int) -> 'GroupRecord':
+        """Return the record as confirmed in an era of the store."""
+        return msgspec.structs.replace(self, era=era)
 
     def list_bases(self) -> tuple[tuple[int, Position], ...]:
         """Return the bases as positions."""
@@ -116,6 +128,7 @@
             born_ms,
             term,
             bases=bases[-_MAX_BASES:],
+            era=self.era,
         )
 
 
@@ -129,6 +142,11 @@
     return _MEMBER_PREFIX + name
 
 
+def lease_key(lease: str) -> str:
+    """Return the key of the row that exists while a lease is held."""
+    return _LEASE_PREFIX + lease
+
+
 def is_group_key(key: str) -> bool:
     """Return whether a key is that of a group's row."""
     return key.startswith(_GROUP_PREFIX)
--- a/catkincrank/gateway/fleetstate.py
+++ b/catkincrank/gateway/fleetstate.py
@@ -1,15 +1,10 @@
-"""State of the fleet's own table, and the grants derived from it.
-
-A grant is valid for a fixed time from the moment at which the store was asked.
-The lease holder changes a group's primary only after it has marked the group
-in the store and every grant based on an older reading was revoked or expired.
-"""
+"""State of the fleet's own table."""
 
 from typing import final
 
 import anyio
 
-from catkincrank.gateway.evidence import Grant
+from catkincrank.gateway.earlierrecords import EarlierRecords
 from catkincrank.gateway.fleetrecords import (
     HEARTBEAT_KEY,
     HOLDER_KEY,
@@ -24,22 +19,18 @@
     is_member_key,
     member_key,
 )
+from catkincrank.gateway.grants import Grants
 from catkincrank.gateway.groups import Groups
-from catkincrank.gateway.rowstore import RowChange
+from catkincrank.gateway.rowstore import ORIGIN, Revision, RowChange
 from catkincrank.gateway.tablecopy import TableCopy
 from catkincrank.logs import log_event
 
-__all__ = ('GRANT_DURATION_S', 'FleetState')
-
-# Duration of a grant from the time of the reading that it is based on, in
-# seconds. The store is read about once a second and answers within 0.3 s when
-# slow; a replacement waits this long for a VM that it cannot reach.
-GRANT_DURATION_S = 2.5
+__all__ = ('FleetState',)
 
 
 @final
 class FleetState:
-    """State of the fleet's table and grants of this process.
+    """State of the fleet's table.
 
     Args:
         copy: Copy of the fleet's table.
@@ -48,10 +39,12 @@
 
     Attributes:
         copy: Copy of the fleet's table.
-        groups: Local state of the groups.
-        records: Rows of the groups with their versions.
+        grants: Grants of this process.
+        records: Rows of the groups with their revisions.
+        earlier: Records from before the store was restored.
+        era_began_at: When the last restoration of the store was seen.
         members: Rows of the members by name.
-        holder: Row of the lease holder, with its version.
+        holder: Row of the lease holder, with its revision.
         holder_heartbeat_at: When the holder's last heartbeat was received.
         own_member: Row of this process.
         member_removed_at: When the last removal of a member's row was seen;
@@ -60,9 +53,11 @@
 
     __slots__ = (
         '_heartbeats',
-        '_minimum_versions',
+        '_era',
         'copy',
-        'groups',
+        'earlier',
+        'era_began_at',
+        'grants',
         'holder',
         'holder_heartbeat_at',
         'member_removed_at',
@@ -78,16 +73,17 @@
         own_member: MemberRecord,
     ) -> None:
         self.copy = copy
-        self.groups = groups
         self.own_member = own_member
-        self.records: dict[str, tuple[int, GroupRecord]] = {}
+        self.records: dict[str, tuple[Revision, GroupRecord]] = {}
+        self.earlier = EarlierRecords()
+        self.era_began_at: float = 0
         self.members: dict[str, MemberRecord] = {}
-        self.holder: tuple[int, HolderRecord] | None = None
+        self.holder: tuple[Revision, HolderRecord] | None = None
         self.holder_heartbeat_at: float = 0
         self.member_removed_at = anyio.current_time()
         self._heartbeats: dict[str, float] = {}
-        # Oldest valid version by service; the empty name stands for all.
-        self._minimum_versions: dict[str, int] = {}
+        self._era = 0
+        self.grants = Grants(self, groups)
         copy.listen(self.apply_changes)
 
     @property
@@ -96,9 +92,30 @@
         return self.members.get(self.own_member.name) == self.own_member
 
     @property
-    def takeover_version(self) -> int:
-        """Version of the newest lease takeover known to this process."""
-        return self._minimum_versions.get('', 0)
+    def era(self) -> int:
+        """Era of the newest reading of the table."""
+        return self.copy.revision.era
+
+    def find_group(self, service: str) -> tuple[Revision, GroupRecord] | None:
+        """Return the newest record of a group and the revision of its row.
+
+        After a restoration the record may be newer than the row, or have none.
+        """
+        revision, record = self.records.get(service, (ORIGIN, None))
+        newest = self.earlier.find_newest(service, record)
+        return None if newest is None else (revision, newest)
+
+    def list_earlier(self, era: int) -> list[GroupRecord]:
+        """Return what is known of the groups from before an era."""
+        known = list(self.earlier.list_records())
+        if self.era < era:
+            known.extend(record for _, record in self.records.values())
+        return known
+
+    def is_confirmed(self, service: str) -> bool:
+        """Return whether a lease holder confirmed a group's row in this era."""
+        found = self.records.get(service)
+        return found is not None and found[1].era == self.era
 
     def list_others(self) -> list[MemberRecord]:
         """Return the other members."""
@@ -122,72 +139,20 @@
 
     def apply_changes(self, changed: tuple[RowChange, ...]) -> None:
         """Apply changed rows of the table."""
+        if self.era > self._era:
+            self._begin_era()
         for row in changed:
             self._apply_row(row)
-        self.refresh()
-
-    def revoke(self, service: str, version: int) -> None:
-        """Revoke grants based on readings older than ``version``.
+        self.grants.refresh()
 
-        An empty ``service`` stands for all services.
-        """
-        self._minimum_versions[service] = max(
-            self._minimum_versions.get(service, 0), version
-        )
-        self.refresh()
-
-    def refresh(self) -> None:
-        """Derive the grants again from the rows."""
-        has_changed = False
-        now = anyio.current_time()
-        for service in self.records:
-            grant = self._make_grant(service)
-            evidence = self.groups.evidence(service)
-            evidence.proof.is_allowed = self._may_grant(service)
-            if evidence.apply_grant(grant, now):
-                has_changed = True
-                log_event(
-                    'primary_granted',
-                    service=service,
-                    endpoint=grant.endpoint_id,
-                    term=grant.term,
-                    version=self.copy.version,
-                )
-        if has_changed:
-            self.groups.notify_waiters()
-
-    def _may_grant(self, service: str) -> bool:
-        """Return whether the newest reading permits a grant."""
-        minimum_version = max(
-            self._minimum_versions.get(service, 0),
-            self._minimum_versions.get('', 0),
-        )
-        is_valid = self.is_registered and self.copy.version >= minimum_version
-        return is_valid and not self.records[service][1].is_replacing
-
-    def _make_grant(self, service: str) -> Grant | None:
-        if not self._may_grant(service):
-            return self._end_grant(service)
-        record = self.records[service][1]
-        return Grant(
-            record.primary,
-            record.term,
-            self.copy.read_at + GRANT_DURATION_S,
-            record.list_bases(),
-        )
-
-    def _end_grant(self, service: str) -> Grant | None:
-        """Return the last grant as expired, which keeps its bases."""
-        before = self.groups.evidence(service).grant
-        if before is None:
-            return None
-        now = anyio.current_time()
-        return Grant(
-            before.endpoint_id,
-            before.term,
-            min(before.until, now),
-            before.bases,
-        )
+    def _begin_era(self) -> None:
+        """Set aside what was known before the store was restored."""
+        self._era = self.era
+        self.era_began_at = anyio.current_time()
+        for _, record in self.records.values():
+            self.earlier.add(record)
+        self.records.clear()
+        self.grants.begin_era()
 
     def _apply_row(self, row: RowChange) -> None:
         if row.key == HEARTBEAT_KEY:
@@ -202,12 +167,12 @@
     def _apply_holder(self, row: RowChange) -> None:
         self.holder_heartbeat_at = anyio.current_time()
         before = self.holder
-        self.holder = row.body and (row.version, decode_holder(row.body))
+        self.holder = row.body and (row.revision, decode_holder(row.body))
         if before is None or before[1] != (self.holder and self.holder[1]):
             log_event(
                 'holder_changed',
                 holder=self.holder and self.holder[1].name,
-                version=row.version,
+                version=str(row.revision),
             )
 
     def _apply_member(self, row: RowChange) -> None:
@@ -225,4 +190,6 @@
             return
         record = decode_group(row.body)
         if row.key == group_key(record.service):
-            self.records[record.service] = (row.version, record)
+            self.records[record.service] = (row.revision, record)
+            if record.era >= self.era:
+                self.earlier.forget(record.service)
--- a/catkincrank/gateway/peermessages.py
+++ b/catkincrank/gateway/peermessages.py
@@ -12,6 +12,8 @@
     'ChangeNotice',
     'ReachQuery',
     'ReachReply',
+    'RecallReply',
+    'RecallRequest',
     'RevokeReply',
     'RevokeRequest',
     'TableVersion',
@@ -30,10 +32,12 @@
     Attributes:
         table: Name of the table.
         version: Newest version of the store that it has read.
+        era: Era of that version.
     """
 
     table: str
     version: int
+    era: int = 0
 
 
 @register_message('tableQuery')
@@ -79,12 +83,16 @@
         version: Version of the store when it was read.
         age_s: Age of the reading, in seconds; negative if there was none.
         rows: Rows that changed after the version in the query.
+        era: Era of the version, and of those of the rows.
+        is_whole: Whether the table has no other rows.
     """
 
     table: str
     version: int
     age_s: float
     rows: tuple[TableRow, ...] = ()
+    era: int = 0
+    is_whole: bool = False
 
 
 @register_message('tableReply')
@@ -119,11 +127,13 @@
         service: Name of the group; empty for all.
         version: Grants based on readings older than this are revoked.
         holder: Name of the lease holder that asks.
+        era: Era of the version.
     """
 
     service: str
     version: int
     holder: str
+    era: int = 0
 
 
 @register_message('revokeReply')
@@ -135,6 +145,30 @@
     is_done: bool
 
 
+@register_message('recallRequest')
+@final
+@dataclass(frozen=True, slots=True)
+class RecallRequest:
+    """Asks what a process knew of the groups before the store was restored.
+
+    Attributes:
+        holder: Name of the lease holder that asks.
+        era: Era of the restored store.
+    """
+
+    holder: str
+    era: int
+
+
+@register_message('recallReply')
+@final
+@dataclass(frozen=True, slots=True)
+class RecallReply:
+    """Records of groups from earlier eras, encoded as in the fleet's table."""
+
+    records: tuple[bytes, ...]
+
+
 @register_message('reachQuery')
 @final
 @dataclass(frozen=True, slots=True)
--- a/catkincrank/gateway/primarymonitor.py
+++ b/catkincrank/gateway/primarymonitor.py
@@ -124,11 +124,11 @@
     async def _check_primary(
         self, service: str, history: _ProbeHistory
     ) -> None:
-        found = self._fleet.records.get(service)
-        if found is None:
-            await self._replacement.record_first_primary(service)
+        if not self._fleet.is_confirmed(service):
+            if self._lease.may_confirm:
+                await self._replacement.confirm_primary(service)
             return
-        record = found[1]
+        record = self._fleet.records[service][1]
         cause = find_cause(record, await self._observe(record, history))
         if cause is Cause.UNREACHABLE and not await self._has_failed(record):
             log_event(
--- a/catkincrank/gateway/relay.py
+++ b/catkincrank/gateway/relay.py
@@ -23,7 +23,7 @@
     TableVersion,
 )
 from catkincrank.gateway.peers import PeerClient
-from catkincrank.gateway.rowstore import Changes, RowChange
+from catkincrank.gateway.rowstore import Changes, Revision, RowChange
 from catkincrank.gateway.tablecopy import TableCopy
 
 __all__ = ('TableRelay',)
@@ -111,22 +111,32 @@
     ) -> TableReply:
         if not copy.is_loaded:
             return TableReply(copy.table, 0, _NEVER_READ)
+        changes = copy.list_changes(Revision(known.era, known.version))
         rows = tuple(
-            TableRow(row.key, row.version, row.body or b'', row.body is None)
-            for row in copy.list_changes(known.version)
+            TableRow(
+                row.key, row.revision.version, row.body or b'', row.body is None
+            )
+            for row in changes.rows
         )
         is_current = copy is self._fleet.copy and self._lease.may_extend_grants(
             now
         )
         age_s = 0 if is_current else now - copy.read_at
-        return TableReply(copy.table, copy.version, age_s, rows)
+        return TableReply(
+            copy.table,
+            changes.revision.version,
+            age_s,
+            rows,
+            changes.revision.era,
+            changes.is_whole,
+        )
 
     def _extend_grants(self) -> None:
         """Renew the own grants while no other process can replace a primary."""
         copy = self._fleet.copy
         now = anyio.current_time()
         if self._lease.may_extend_grants(now):
-            copy.merge_reading(Changes((), copy.version), now)
+            copy.merge_reading(Changes((), copy.revision), now)
 
     def _max_age_s(self) -> float:
         now = anyio.current_time()
@@ -155,7 +165,9 @@
         query = TableQuery(
             self._fleet.own_member.name,
             tuple(
-                TableVersion(copy.table, copy.version)
+                TableVersion(
+                    copy.table, copy.revision.version, copy.revision.era
+                )
                 for copy in self._copies.values()
             ),
         )
@@ -174,8 +186,8 @@
         RowChange(
             row.key,
             None if row.is_removed else bytes(row.body),
-            row.version,
+            Revision(reply.era, row.version),
         )
         for row in reply.rows
     )
-    return Changes(rows, reply.version)
+    return Changes(rows, Revision(reply.era, reply.version), reply.is_whole)
--- a/catkincrank/gateway/replacement.py
+++ b/catkincrank/gateway/replacement.py
@@ -10,19 +10,25 @@
 from catkincrank.gateway.failoverlease import FailoverLease
 from catkincrank.gateway.fleetrecords import (
     FLEET_TABLE,
-    HOLDER_KEY,
     GroupRecord,
     encode_record,
     group_key,
 )
 from catkincrank.gateway.fleetstate import FleetState
 from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.leaserows import HeldLease
 from catkincrank.gateway.link import EndpointState
+from catkincrank.gateway.primaryproof import find_objection
 from catkincrank.gateway.promoter import Promoter, PromotionError
 from catkincrank.gateway.relay import TableRelay
 from catkincrank.gateway.revocation import Revocation
 from catkincrank.gateway.roster import EndpointEntry
-from catkincrank.gateway.rowstore import Condition, RowStore
+from catkincrank.gateway.rowstore import (
+    ORIGIN,
+    Condition,
+    Revision,
+    RowStore,
+)
 from catkincrank.gateway.selection import Candidate, Selection, is_newer_primary
 from catkincrank.gateway.suspicion import Cause
 from catkincrank.logs import log_event
@@ -87,31 +93,72 @@
         self._promoter = promoter
         self._relay = relay
         self._selection = Selection(groups, prober)
-        # Row version of each group's mark, while no endpoint can have been
+        # Row revision of each group's mark, while no endpoint can have been
         # promoted since.
-        self._unpromoted_marks: dict[str, int] = {}
+        self._unpromoted_marks: dict[str, Revision] = {}
 
     async def record_first_primary(self, service: str) -> None:
-        """Record the primary of a group that has no row yet."""
-        for entry in self._groups.roster.of_service(service):
-            state = await self._prober.probe_state(entry)  # noqa: WPS476
-            if state is not None and state.is_primary:
+        """Record the primary of a group that has no row yet.
+
+        An endpoint that was replaced may still report itself as the primary of
+        an earlier term.
+        """
+        found = await self._selection.query_all(service)
+        newest_term = max(
+            (max(state.term, state.promised) for _, state in found), default=0
+        )
+        for entry, state in found:
+            if state.is_primary and state.term == newest_term:
                 record = GroupRecord(
                     service,
                     entry.endpoint_id,
                     entry.born_ms,
                     state.term,
+                    era=self._fleet.era,
                 )
-                await self._write(record, 0)  # noqa: WPS476
+                await self._write(record, ORIGIN)  # noqa: WPS476
                 return
 
+    async def confirm_primary(self, service: str) -> None:
+        """Confirm a group's row after the store was restored from a copy.
+
+        The copy may lack a promotion. Its record counts if this process held
+        the lease until then, or if no endpoint knows a later term; otherwise
+        the primary is replaced.
+        """
+        found = self._fleet.find_group(service)
+        if found is None:
+            await self.record_first_primary(service)
+            return
+        revision, record = found
+        is_certain = not record.is_replacing and (
+            self._lease.knows_all or await self._is_proved(record)
+        )
+        if is_certain:
+            confirmed = record.confirm(self._fleet.era)
+            if await self._write(confirmed, revision) != ORIGIN:
+                log_event(
+                    'record_confirmed',
+                    service=service,
+                    endpoint=record.primary,
+                    term=record.term,
+                    era=confirmed.era,
+                )
+                await self._relay.notify_peers()
+        elif self._lease.is_settled:
+            await self.replace(service, Cause.RESTORED)
+
     async def replace(self, service: str, cause: Cause) -> None:
         """Replace the primary of a group.
 
         Returns early if a step fails; the group stays marked and the
         replacement is tried again.
         """
-        version, record = self._fleet.records[service]
+        held = self._lease.held
+        found = self._fleet.find_group(service)
+        if held is None or found is None:
+            return
+        record = found[1].confirm(self._fleet.era)
         started = anyio.current_time()
         log_event(
             'replacement_started',
@@ -120,10 +167,10 @@
             term=record.term,
             cause=cause.value,
         )
-        marked = await self._mark(version, record)
-        if not marked:
+        marked = await self._mark(found[0], record, cause)
+        if marked == ORIGIN:
             return
-        await self._fence(record, marked)
+        await self._fence(record, marked, held)
         if not await self._lease.wait_settled():
             return
         may_keep = self._unpromoted_marks.get(service) == marked
@@ -147,29 +194,56 @@
             took_ms=round((anyio.current_time() - started) * 1000),
         )
 
-    async def _mark(self, version: int, record: GroupRecord) -> int:
-        """Mark the group in the store; return the version, 0 on failure.
+    async def _is_proved(self, record: GroupRecord) -> bool:
+        """Return whether the endpoints show that the primary still leads."""
+        entries = self._groups.list_members(
+            record.service, anyio.current_time()
+        )
+        states = dict.fromkeys((entry.endpoint_id for entry in entries), None)
+        states.update(
+            (entry.endpoint_id, state)
+            for entry, state in await self._selection.query(entries)
+        )
+        evidence = self._groups.evidence(record.service)
+        objection = find_objection(
+            record.primary, record.term, states, evidence.positions
+        )
+        if objection:
+            log_event(
+                'record_unproved', service=record.service, cause=objection
+            )
+        return not objection
+
+    async def _mark(
+        self, revision: Revision, record: GroupRecord, cause: Cause
+    ) -> Revision:
+        """Mark the group in the store.
+
+        Returns:
+            The revision of its row, or ``ORIGIN`` on failure.
 
         A marked group is marked again: an unanswered write of a successor may
         still be applied late, unless the version of the row has changed.
         """
-        is_unpromoted = (
+        is_unpromoted = cause is not Cause.RESTORED and (
             not record.is_replacing
-            or self._unpromoted_marks.get(record.service) == version
+            or self._unpromoted_marks.get(record.service) == revision
         )
-        marked = await self._write(record.mark_replacing(), version)
-        if marked and is_unpromoted:
+        marked = await self._write(record.mark_replacing(), revision)
+        if marked != ORIGIN and is_unpromoted:
             self._unpromoted_marks[record.service] = marked
         return marked
 
-    async def _fence(self, record: GroupRecord, marked: int) -> None:
+    async def _fence(
+        self, record: GroupRecord, marked: Revision, held: HeldLease
+    ) -> None:
         """Wait until no process holds a grant for the old primary."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._selection.demote, record)
             await self._revocation.revoke_group(
                 record.service,
                 marked,
-                self._lease.token,
+                held,
             )
             # All grants have ended, so the demotion need not be confirmed.
             tasks.cancel_scope.cancel()
@@ -234,33 +308,40 @@
                 state.term,
                 state.received,
             )
-        version, current = self._fleet.records[record.service]
+        revision, current = self._fleet.records[record.service]
         if current.term != record.term:
             return
-        await self._write(next_record, version)
+        await self._write(next_record, revision)
 
-    async def _write(self, record: GroupRecord, version: int) -> int:
-        """Write a group's row as lease holder; return the store's version."""
+    async def _write(self, record: GroupRecord, revision: Revision) -> Revision:
+        """Write a group's row as lease holder.
+
+        Returns:
+            The revision of the row, or ``ORIGIN`` if it was not written.
+        """
+        held = self._lease.held
+        if held is None:
+            return ORIGIN
         conditions = [
-            Condition(HOLDER_KEY, self._lease.token),
-            Condition(group_key(record.service), version),
+            *held.conditions,
+            Condition(group_key(record.service), revision),
         ]
-        written = 0
+        written = ORIGIN
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._poll_for_record, record, version, tasks)
+            tasks.start_soon(self._poll_for_record, record, revision, tasks)
             written = await self._try_write(record, conditions)
             tasks.cancel_scope.cancel()
         await self._fleet.copy.try_reload()
-        found_version, found = self._find_record(record.service)
-        if found == record and found_version > version:
-            return found_version
-        return written
+        found_revision, found = self._find_record(record.service)
+        if found == record and found_revision > revision:
+            return found_revision
+        return written if written.era == held.revision.era else ORIGIN
 
     async def _try_write(
         self,
         record: GroupRecord,
         conditions: list[Condition],
-    ) -> int:
+    ) -> Revision:
         key = group_key(record.service)
         try:
             return await self._store.write(
@@ -275,12 +356,12 @@
                 service=record.service,
                 cause=str(error),
             )
-        return 0
+        return ORIGIN
 
     async def _poll_for_record(
         self,
         record: GroupRecord,
-        version: int,
+        revision: Revision,
         tasks: TaskGroup,
     ) -> None:
         """Cancel the wait for a write once the table holds the row.
@@ -291,9 +372,9 @@
         while True:
             await anyio.sleep(_WRITE_CHECK_INTERVAL_S)
             await self._fleet.copy.try_reload()
-            found_version, found = self._find_record(record.service)
-            if found == record and found_version > version:
+            found_revision, found = self._find_record(record.service)
+            if found == record and found_revision > revision:
                 tasks.cancel_scope.cancel()
 
-    def _find_record(self, service: str) -> tuple[int, GroupRecord | None]:
-        return self._fleet.records.get(service, (0, None))
+    def _find_record(self, service: str) -> tuple[Revision, GroupRecord | None]:
+        return self._fleet.records.get(service, (ORIGIN, None))
--- a/catkincrank/gateway/revocation.py
+++ b/catkincrank/gateway/revocation.py
@@ -7,14 +7,22 @@
 from catkincrank.errors import ConflictError, StoreUnavailableError
 from catkincrank.gateway.fleetrecords import (
     FLEET_TABLE,
-    HOLDER_KEY,
     MemberRecord,
+    decode_group,
+    encode_record,
     member_key,
 )
-from catkincrank.gateway.fleetstate import GRANT_DURATION_S, FleetState
-from catkincrank.gateway.peermessages import RevokeReply, RevokeRequest
+from catkincrank.gateway.fleetstate import FleetState
+from catkincrank.gateway.grants import GRANT_DURATION_S
+from catkincrank.gateway.leaserows import HeldLease
+from catkincrank.gateway.peermessages import (
+    RecallReply,
+    RecallRequest,
+    RevokeReply,
+    RevokeRequest,
+)
 from catkincrank.gateway.peers import PeerClient
-from catkincrank.gateway.rowstore import Condition, RowStore
+from catkincrank.gateway.rowstore import Revision, RowStore
 from catkincrank.logs import log_event
 
 __all__ = ('HOLDER_EXTENSION_S', 'Revocation')
@@ -54,53 +62,87 @@
 
     async def answer(self, request: RevokeRequest) -> RevokeReply:
         """Revoke own grants at the request of a peer."""
-        self._fleet.revoke(request.service, request.version)
+        self._fleet.grants.revoke(
+            request.service, Revision(request.era, request.version)
+        )
         return RevokeReply(is_done=True)
 
     async def revoke_group(
         self,
         service: str,
-        version: int,
-        token: int,
+        marked: Revision,
+        held: HeldLease,
     ) -> None:
         """Wait until no process holds a grant from an older reading of a group.
 
         Args:
             service: Name of the group.
-            version: Version of the store that marked the group.
-            token: Fencing token of this process.
+            marked: Revision of the store that marked the group.
+            held: Lease of this process.
         """
         ends_at = anyio.current_time() + GRANT_DURATION_S
-        self._fleet.revoke(service, version)
+        self._fleet.grants.revoke(service, marked)
         await self._fleet.copy.try_reload()
-        request = RevokeRequest(service, version, self._fleet.own_member.name)
-        await self._ask_until(request, token, ends_at)
+        request = self._make_request(service, marked)
+        await self._ask_until(request, held, ends_at)
 
     async def revoke_holder(
         self,
-        version: int,
+        held: HeldLease,
         previous: str,
         heartbeat_at: float,
     ) -> None:
         """Wait until no process holds a grant extended by an earlier holder.
 
         Args:
-            version: Version of the store that made this process the holder.
+            held: Lease of this process.
             previous: Name of the previous holder; empty if there was none or if
                 its process has ended.
             heartbeat_at: When its last heartbeat was received.
         """
         ends_at = anyio.current_time() + GRANT_DURATION_S
-        self._fleet.revoke('', version)
+        self._fleet.grants.revoke('', held.revision)
         await self._fleet.copy.try_reload()
-        request = RevokeRequest('', version, self._fleet.own_member.name)
-        done = await self._ask_until(request, version, ends_at)
+        request = self._make_request('', held.revision)
+        done = await self._ask_until(request, held, ends_at)
         if previous and previous not in done:
             await anyio.sleep_until(
                 max(ends_at, heartbeat_at + HOLDER_EXTENSION_S)
             )
 
-    async def remove(self, members: list[MemberRecord], token: int) -> None:
+    async def answer_recall(self, request: RecallRequest) -> RecallReply:
+        """Return what is known of the groups from before an era."""
+        earlier = self._fleet.earlier
+        earlier.announced_era = max(earlier.announced_era, request.era)
+        return RecallReply(
+            tuple(
+                encode_record(record)
+                for record in self._fleet.list_earlier(request.era)
+            )
+        )
+
+    async def recall(self, held: HeldLease) -> None:
+        """Collect what the members know of the groups from before an era."""
+        request = RecallRequest(self._fleet.own_member.name, held.revision.era)
+        done: set[str] = set()
+        for _ in range(_MAX_TRIES):
+            pending = self._find_pending(done)
+            answers = await self._client.ask_all(  # noqa: WPS476
+                pending, request, _ASK_TIMEOUT_S
+            )
+            done.update(answers)
+            for answer in answers.values():
+                self._add_earlier(answer)
+        log_event(
+            'records_recalled',
+            era=held.revision.era,
+            members=len(done),
+            unreachable=[one.name for one in self._find_pending(done)],
+        )
+
+    async def remove(
+        self, members: list[MemberRecord], held: HeldLease
+    ) -> None:
         """Remove members that no longer answer.
 
         They get no more grants, and no process waits for them. A member that
@@ -110,7 +152,7 @@
         try:
             await self._store.write(
                 FLEET_TABLE,
-                [Condition(HOLDER_KEY, token)],
+                held.conditions,
                 {},
                 [member_key(name) for name in names],
             )
@@ -123,7 +165,7 @@
     async def _ask_until(
         self,
         request: RevokeRequest,
-        token: int,
+        held: HeldLease,
         ends_at: float,
     ) -> set[str]:
         """Ask until every member has revoked its grants or they have expired.
@@ -142,7 +184,7 @@
             pending = self._find_pending(done)
             tries += 1
             if tries == _MAX_TRIES and pending:
-                await self.remove(pending, token)
+                await self.remove(pending, held)
             if pending:
                 await anyio.sleep(_RETRY_PAUSE_S)
         if pending:
@@ -150,6 +192,7 @@
                 'grants_expired',
                 service=request.service,
                 version=request.version,
+                era=request.era,
                 unreachable=sorted(member.name for member in pending),
             )
         # Removed members are no longer asked, but may still hold grants.
@@ -157,6 +200,20 @@
         await anyio.sleep_until(min(ends_at, removed_at + GRANT_DURATION_S))
         return done
 
+    def _make_request(self, service: str, revision: Revision) -> RevokeRequest:
+        return RevokeRequest(
+            service,
+            revision.version,
+            self._fleet.own_member.name,
+            revision.era,
+        )
+
+    def _add_earlier(self, answer: object) -> None:
+        if not isinstance(answer, RecallReply):
+            return
+        for body in answer.records:
+            self._fleet.earlier.add(decode_group(body))
+
     def _find_pending(self, done: set[str]) -> list[MemberRecord]:
         return [
             member
--- a/catkincrank/gateway/roster.py
+++ b/catkincrank/gateway/roster.py
@@ -22,6 +22,7 @@
         claims_primary: Whether it reports itself as the primary; only a hint,
             as a replaced primary may not have been told yet.
         born_ms: Start of this incarnation, in Unix milliseconds; 0 if unknown.
+        sequence: Number of its writes in this incarnation; 0 if unknown.
     """
 
     endpoint_id: str
@@ -33,6 +34,7 @@
     is_draining: bool = False
     claims_primary: bool = False
     born_ms: int = 0
+    sequence: int = 0
 
 
 @final
@@ -49,26 +51,63 @@
     lapsed_at: float
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    """Newest registration of an endpoint that was read.
+
+    Attributes:
+        entry: The registration.
+        era: Era of the store when it was read.
+        is_removed: Whether its removal was read in that era.
+    """
+
+    entry: EndpointEntry
+    era: int
+    is_removed: bool = False
+
+
 @final
 class Roster:
     """Registered endpoints, and those whose registration is gone."""
 
-    __slots__ = ('_entries', '_lapsed')
+    __slots__ = ('_entries', '_lapsed', '_seen')
 
     def __init__(self) -> None:
         self._entries: dict[str, EndpointEntry] = {}
         self._lapsed: dict[str, LapsedEntry] = {}
+        self._seen: dict[str, _Seen] = {}
+
+    def is_outdated(self, entry: EndpointEntry, era: int) -> bool:
+        """Return whether a restored store brought back an old registration.
 
-    def put(self, entry: EndpointEntry) -> None:
-        """Add or replace an entry."""
+        An endpoint that has left, or is leaving, writes nothing newer; one that
+        runs writes its registration again.
+        """
+        seen = self._seen.get(entry.endpoint_id)
+        if seen is None or seen.era == era or not entry.sequence:
+            return False
+        if entry.born_ms != seen.entry.born_ms:
+            return entry.born_ms < seen.entry.born_ms
+        newest = seen.entry.sequence
+        return entry.sequence < newest + seen.is_removed
+
+    def put(self, entry: EndpointEntry, era: int = 0) -> None:
+        """Add or replace an entry that was read in an era of the store."""
         self._entries[entry.endpoint_id] = entry
         self._lapsed.pop(entry.endpoint_id, None)
+        self._seen[entry.endpoint_id] = _Seen(entry, era)
 
-    def drop(self, endpoint_id: str, now: float) -> EndpointEntry | None:
+    def drop(
+        self, endpoint_id: str, now: float, era: int = 0
+    ) -> EndpointEntry | None:
         """Remove an entry; return it if it was there."""
         entry = self._entries.pop(endpoint_id, None)
         if entry is not None:
             self._lapsed[endpoint_id] = LapsedEntry(entry, now)
+            # A restored store may lack a registration that was not removed.
+            if self._seen[endpoint_id].era == era:
+                self._seen[endpoint_id] = _Seen(entry, era, is_removed=True)
         return entry
 
     def find_lapsed(self, endpoint_id: str) -> EndpointEntry | None:
--- a/catkincrank/gateway/rowstore.py
+++ b/catkincrank/gateway/rowstore.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from typing import final
+from typing import Final, final
 
 from catkincrank.errors import CatkincrankError
 from catkincrank.registry import Registry
@@ -12,12 +12,38 @@
     'Changes',
     'Condition',
     'HistoryLostError',
+    'ORIGIN',
+    'Revision',
     'RowChange',
     'RowStore',
     'row_stores',
 )
 
 
+@final
+@dataclass(frozen=True, slots=True, order=True)
+class Revision:
+    """State of the store; a later state compares greater.
+
+    A store that is restored from a copy gives out versions again, so versions
+    compare only within an era.
+
+    Attributes:
+        era: Number of times the store has been restored.
+        version: Version of the store within the era.
+    """
+
+    era: int
+    version: int
+
+    def __str__(self) -> str:
+        return '{0}.{1}'.format(self.era, self.version)
+
+
+# Earlier than any state; as a condition, the row must not exist.
+ORIGIN: Final = Revision(0, 0)
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class RowChange:
@@ -26,40 +52,47 @@
     Attributes:
         key: Key within the table.
         body: Content of the row; ``None`` if it was removed.
-        version: Version of the store that wrote it.
+        revision: State of the store that first contained it. In the rows of a
+            restored store, the era is that of the reading.
     """
 
     key: str
     body: bytes | None
-    version: int
+    revision: Revision
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Rows of one table at one version of the store.
+    """Rows of one table at one state of the store.
 
     Attributes:
         rows: All rows, or the changed ones.
-        version: Newest version of the store when they were read.
+        revision: State of the store when they were read.
+        is_whole: Whether the table has no other rows.
     """
 
     rows: tuple[RowChange, ...]
-    version: int
+    revision: Revision
+    is_whole: bool = False
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class Condition:
-    """Version that a row must have; 0 if the row must not exist."""
+    """Revision that a row must have; ``ORIGIN`` if it must not exist.
+
+    The store compares versions only. A condition from before a restoration is
+    refused once the client knows of it, but may hold by chance until then.
+    """
 
     key: str
-    version: int
+    revision: Revision
 
 
 @final
 class HistoryLostError(CatkincrankError):
-    """The store no longer has the change history since a version."""
+    """The store no longer has the change history since a revision."""
 
 
 class RowStore(ABC):
@@ -73,16 +106,19 @@
         """Return every row of a table."""
 
     @abstractmethod
-    async def follow(self, table: str, after: int, wait_s: float) -> Changes:
-        """Return the rows changed after a version; wait for the first change.
+    async def follow(
+        self, table: str, after: Revision, wait_s: float
+    ) -> Changes:
+        """Return the rows changed after a revision; wait for the first change.
 
         Args:
             table: Name of the table.
-            after: Newest version of the store that the caller has read.
+            after: Newest revision of the store that the caller has read.
             wait_s: Longest wait for a change, in seconds.
 
         Raises:
-            HistoryLostError: The store no longer has the changes since then.
+            HistoryLostError: The store no longer has the changes since then,
+                or has been restored from a copy.
         """
 
     @abstractmethod
@@ -92,11 +128,11 @@
         conditions: Sequence[Condition],
         bodies: Mapping[str, bytes],
         removed: Sequence[str] = (),
-    ) -> int:
+    ) -> Revision:
         """Write and remove rows of one table atomically, under conditions.
 
         Returns:
-            The version of the store after the write.
+            The revision of the store after the write.
 
         Raises:
             ConflictError: A condition does not hold.
--- a/catkincrank/gateway/selection.py
+++ b/catkincrank/gateway/selection.py
@@ -42,7 +42,7 @@
         Without a successor the primary is not demoted: the platform ignores a
         promotion of the current primary, so it could not become primary again.
         """
-        found = await self._query_all(record.service)
+        found = await self.query_all(record.service)
         if _list_successors(found, record):
             entry = self._groups.roster.find(record.primary)
             if entry is not None:
@@ -63,7 +63,7 @@
             may_keep: Whether no other endpoint can have been promoted since
                 the group was marked, so that the primary may be kept.
         """
-        found = await self._query_all(record.service)
+        found = await self.query_all(record.service)
         newer_primaries = [
             candidate
             for candidate in found
@@ -78,6 +78,24 @@
             return await self._catch_up(record, usable, found)
         return max(usable, key=_received_of)
 
+    async def query_all(self, service: str) -> list[Candidate]:
+        """Return the registered endpoints of a group that report a state."""
+        return await self.query(self._groups.roster.of_service(service))
+
+    async def query(self, entries: list[EndpointEntry]) -> list[Candidate]:
+        """Return those endpoints that report a state."""
+        found: list[Candidate] = []
+
+        async def query_one(entry: EndpointEntry) -> None:  # noqa: WPS430
+            state = await self._prober.probe_state(entry)
+            if state is not None:
+                found.append((entry, state))
+
+        async with anyio.create_task_group() as tasks:
+            for entry in entries:
+                tasks.start_soon(query_one, entry)
+        return found
+
     async def _choose_previous(
         self,
         record: GroupRecord,
@@ -134,7 +152,7 @@
         best = max(usable, key=_received_of)
         while best[1].received < target and anyio.current_time() < ends_at:
             await anyio.sleep(_CATCH_UP_STEP_S)
-            found = await self._query_all(record.service)
+            found = await self.query_all(record.service)
             best = max(
                 _list_successors(found, record),
                 key=_received_of,
@@ -142,19 +160,6 @@
             )
         return best
 
-    async def _query_all(self, service: str) -> list[Candidate]:
-        found: list[Candidate] = []
-
-        async def query(entry: EndpointEntry) -> None:  # noqa: WPS430
-            state = await self._prober.probe_state(entry)
-            if state is not None:
-                found.append((entry, state))
-
-        async with anyio.create_task_group() as tasks:
-            for entry in self._groups.roster.of_service(service):
-                tasks.start_soon(query, entry)
-        return found
-
 
 def _list_successors(
     found: list[Candidate], record: GroupRecord
--- a/catkincrank/gateway/statusserver.py
+++ b/catkincrank/gateway/statusserver.py
@@ -119,7 +119,8 @@
         'members': sorted(fleet.members),
         'readings': {
             copy.table: {
-                'version': copy.version,
+                'era': copy.revision.era,
+                'version': copy.revision.version,
                 'age_s': round(now - copy.read_at, 3),
             }
             for copy in gateway.tables.copies
--- a/catkincrank/gateway/suspicion.py
+++ b/catkincrank/gateway/suspicion.py
@@ -25,6 +25,7 @@
     GONE = 'its registration is gone'
     DEMOTED = 'it is no longer a primary'
     UNREACHABLE = 'neither this process nor most peers can reach it'
+    RESTORED = 'the restored store may lack a promotion'
     INTERRUPTED = 'an earlier replacement did not finish'
 
 
--- a/catkincrank/gateway/tablecopy.py
+++ b/catkincrank/gateway/tablecopy.py
@@ -1,7 +1,7 @@
 """Local copy of one table of the platform's store."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import final
 
 import anyio
@@ -10,9 +10,11 @@
 from catkincrank.gateway.rowstore import (
     Changes,
     HistoryLostError,
+    Revision,
     RowChange,
     RowStore,
 )
+from catkincrank.gateway.tablerows import TableRows
 from catkincrank.logs import log_event
 
 __all__ = ('TableCopy',)
@@ -28,7 +30,7 @@
 
 
 @final
-class TableCopy:
+class TableCopy:  # noqa: WPS214
     """Local copy of a table, with the time of the newest reading.
 
     Args:
@@ -43,27 +45,23 @@
     Attributes:
         may_skip_store: Whether the store need not be read while readings from
             peers are fresh.
-        rows: The rows by key.
-        version: Version of the store at the newest reading.
         read_at: When that reading was requested, on the local clock.
         store_read_at: The same for the newest reading of the store itself.
     """
 
     __slots__ = (
+        '_content',
         '_gap_s',
         '_has_skipped_store',
         '_is_available',
         '_listeners',
         '_max_age_s',
-        '_removed',
         '_store',
         '_table',
         '_wait_s',
         'may_skip_store',
         'read_at',
-        'rows',
         'store_read_at',
-        'version',
     )
 
     def __init__(
@@ -76,7 +74,7 @@
     ) -> None:
         self._store = store
         self._table = table
-        self._removed: dict[str, int] = {}
+        self._content = TableRows()
         self._wait_s = wait_s
         self._gap_s = gap_s
         self._max_age_s = max_age_s
@@ -84,8 +82,6 @@
         self._has_skipped_store = False
         self.may_skip_store = False
         self._listeners: list[Callable[[tuple[RowChange, ...]], None]] = []
-        self.rows: dict[str, RowChange] = {}
-        self.version = 0
         self.read_at = _NEVER
         self.store_read_at = _NEVER
 
@@ -94,6 +90,16 @@
         """Name of the table."""
         return self._table
 
+    @property
+    def rows(self) -> Mapping[str, RowChange]:
+        """The rows by key."""
+        return self._content.rows
+
+    @property
+    def revision(self) -> Revision:
+        """State of the store at the newest reading."""
+        return self._content.revision
+
     @property
     def is_loaded(self) -> bool:
         """Whether the table has been read at least once."""
@@ -135,20 +141,8 @@
         """
         started = anyio.current_time()
         found = await self._store.read_table(self._table)
-        if found.version < self.version:
-            return
-        known = {row.key for row in found.rows}
-        gone = tuple(
-            RowChange(key, None, found.version)
-            for key in self.rows
-            if key not in known
-        )
-        fresh = tuple(
-            row
-            for row in found.rows
-            if key_version(self.rows.get(row.key)) != row.version
-        )
-        self._apply_store_reading(Changes(fresh + gone, found.version), started)
+        if found.revision >= self.revision:
+            self._apply_store_reading(found, started)
 
     async def try_reload(self) -> bool:
         """Read the whole table now; return whether the store answered."""
@@ -165,20 +159,20 @@
         return True
 
     def merge_reading(self, changes: Changes, read_at: float) -> None:
-        """Apply a reading of another process if it is newer."""
-        if changes.version >= self.version and read_at > self.read_at:
+        """Apply a reading of another process if it is newer.
+
+        After a restoration of the store only a whole reading replaces the rows
+        of the earlier era.
+        """
+        is_same_era = changes.revision.era == self.revision.era
+        if not (is_same_era or changes.is_whole):
+            return
+        if changes.revision >= self.revision and read_at > self.read_at:
             self._apply(changes, read_at)
 
-    def list_changes(self, after: int) -> tuple[RowChange, ...]:
-        """Return the rows written or removed after a version."""
-        removed = tuple(
-            RowChange(key, None, version)
-            for key, version in self._removed.items()
-            if version > after
-        )
-        return removed + tuple(
-            row for row in self.rows.values() if row.version > after
-        )
+    def list_changes(self, after: Revision) -> Changes:
+        """Return what changed after a revision, or the whole table."""
+        return self._content.list_changes(after)
 
     def _is_fresh(self) -> bool:
         """Return whether the store need not be read now."""
@@ -190,41 +184,42 @@
         self._apply(changes, read_at)
 
     async def _read_once(self) -> None:
-        if not self.version:
+        if not self.is_loaded:
             await self.reload()
             return
         started = anyio.current_time()
-        after = self.version
+        after = self.revision
         wait_s = 0 if self._has_skipped_store else self._wait_s
         self._has_skipped_store = False
         try:
             found = await self._store.follow(self._table, after, wait_s)
         except HistoryLostError:
-            log_event('history_lost', table=self._table, version=after)
+            log_event('history_lost', table=self._table, version=str(after))
             await self.reload()
             return
-        if found.version < self.version:
+        if found.revision < self.revision:
             return
         self._apply_store_reading(found, started)
         if found.rows and self._gap_s:
             await anyio.sleep(self._gap_s)
 
     def _apply(self, changes: Changes, read_at: float) -> None:
-        changed = []
-        for row in changes.rows:
-            if key_version(self.rows.get(row.key)) >= row.version:
-                continue
-            changed.append(row)
-            if row.body is None:
-                self.rows.pop(row.key, None)
-                self._removed[row.key] = row.version
-            else:
-                self._removed.pop(row.key, None)
-                self.rows[row.key] = row
-        self.version = max(self.version, changes.version)
+        if self.is_loaded and changes.revision.era > self.revision.era:
+            self._log_restoration(changes)
+        changed = self._content.apply(changes)
         self.read_at = max(self.read_at, read_at)
         for listener in self._listeners:
-            listener(tuple(changed))
+            listener(changed)
+
+    def _log_restoration(self, changes: Changes) -> None:
+        log_event(
+            'store_restored',
+            'WARNING',
+            table=self._table,
+            known=str(self.revision),
+            version=str(changes.revision),
+            dropped=len(self._content.find_gone(changes)),
+        )
 
     def _log_loss(self, error: StoreUnavailableError) -> None:
         if self._is_available:
@@ -234,15 +229,14 @@
                 'WARNING',
                 table=self._table,
                 cause=str(error),
-                version=self.version,
+                version=str(self.revision),
             )
 
     def _log_recovery(self) -> None:
         if not self._is_available:
             self._is_available = True
-            log_event('store_regained', table=self._table, version=self.version)
-
-
-def key_version(row: RowChange | None) -> int:
-    """Return the version of a row; 0 if there is none."""
-    return 0 if row is None else row.version
+            log_event(
+                'store_regained',
+                table=self._table,
+                version=str(self.revision),
+            )
--- a/catkincrank/platform/documents.py
+++ b/catkincrank/platform/documents.py
@@ -67,7 +67,7 @@
 class _Registration(msgspec.Struct):
     """An endpoint's registration.
 
-    ``seq`` counts its writes and is not used here; ``slots`` is the number of
+    ``seq`` counts its writes since ``born``; ``slots`` is the number of
     statements, not connections, that it runs concurrently.
     """
 
@@ -78,6 +78,7 @@
     state: str
     db_role: str
     born: int = 0
+    seq: int = 0
     cold_remaining_ms: float = 0
 
 
@@ -136,6 +137,7 @@
         found.state == _DRAINING,
         _ROLES[found.db_role],
         found.born,
+        found.seq,
     )
 
 
--- a/catkincrank/platform/standin.py
+++ b/catkincrank/platform/standin.py
@@ -16,7 +16,7 @@
 from catkincrank.gateway.link import EndpointState
 from catkincrank.gateway.promoter import PromotionError
 from catkincrank.gateway.reply import Failure, Reply, refuse
-from catkincrank.gateway.rowstore import Condition, RowChange
+from catkincrank.gateway.rowstore import Condition, Revision, RowChange
 from catkincrank.gateway.statement import Kind, Statement
 from catkincrank.httpserver import HttpRequest, HttpResponse, HttpServer
 from catkincrank.platform.callers import LineCodec, parse_statement
@@ -136,13 +136,14 @@
         }
         bodies.update((row['key'], None) for row in asked['remove'])
         conditions = [
-            Condition(row['key'], row['ver']) for row in asked['precondition']
+            Condition(row['key'], Revision(self.rows.era, row['ver']))
+            for row in asked['precondition']
         ]
         try:
-            version = self.rows.write(table, conditions, bodies)
+            revision = self.rows.write(table, conditions, bodies)
         except ConflictError:
-            return HttpResponse(b'{"rows":[]}', _PRECONDITION_FAILED)
-        return _answer({'ver': version})
+            return self._stamp(b'{"rows":[]}', _PRECONDITION_FAILED)
+        return self._answer({'ver': revision.version})
 
     async def _read(self, request: HttpRequest) -> HttpResponse:
         found = self.rows.list_rows(request.query['table'])
@@ -152,15 +153,15 @@
     async def _follow(self, request: HttpRequest) -> HttpResponse:
         table = request.query['table']
         after = int(request.query['after'])
-        if after < self.rows.horizon:
-            return HttpResponse(b'{}', _GONE)
+        if not self.rows.horizon <= after <= self.rows.version:
+            return self._stamp(b'{}', _GONE)
         with anyio.move_on_after(int(request.query['wait_ms']) / _MS_PER_S):
             while not self.rows.list_rows(table, after):
                 await self.rows.changed.wait()
         return self._answer_rows(self.rows.list_rows(table, after))
 
     def _answer_rows(self, rows: Any) -> HttpResponse:
-        return _answer(
+        return self._answer(
             {
                 'rows': [_encode_row(row) for row in rows],
                 'truncated': False,
@@ -168,6 +169,14 @@
             },
         )
 
+    def _answer(self, content: dict[str, Any]) -> HttpResponse:
+        return self._stamp(msgspec.json.encode(content))
+
+    def _stamp(self, body: bytes, status: int = 200) -> HttpResponse:
+        """Return an answer of the store with the era of its rows."""
+        headers = {'store-era': str(self.rows.era)}
+        return HttpResponse(body, status, headers=headers)
+
     async def _promote(self, request: HttpRequest) -> HttpResponse:
         asked = msgspec.json.decode(request.body)
         promoter = MemoryPromoter(
@@ -283,13 +292,9 @@
 
 def _encode_row(row: RowChange) -> dict[str, Any]:
     if row.body is None:
-        return {'key': row.key, 'ver': row.version, 'removed': True}
+        return {'key': row.key, 'ver': row.revision.version, 'removed': True}
     return {
         'key': row.key,
-        'ver': row.version,
+        'ver': row.revision.version,
         'value': base64.b64encode(row.body).decode('ascii'),
     }
-
-
-def _answer(content: dict[str, Any]) -> HttpResponse:
-    return HttpResponse(msgspec.json.encode(content))
--- a/catkincrank/platform/store.py
+++ b/catkincrank/platform/store.py
@@ -9,9 +9,11 @@
 
 from catkincrank.errors import ConflictError, StoreUnavailableError
 from catkincrank.gateway.rowstore import (
+    ORIGIN,
     Changes,
     Condition,
     HistoryLostError,
+    Revision,
     RowChange,
     RowStore,
     row_stores,
@@ -37,6 +39,8 @@
 _PLATFORM_PART = ''
 _OWN_PART = 'catkincrank'
 _MS_PER_S = 1000
+# Number of times the store was restored from a copy; absent before the first.
+_ERA_HEADER = 'store-era'
 
 
 class _Row(msgspec.Struct):
@@ -69,11 +73,12 @@
         self._url = 'http://{0}'.format(address)
         self._idle_clients: list[HttpClient] = []
         self._feed_clients: dict[str, HttpClient] = {}
+        self._era = 0
 
     async def read_table(self, table: str) -> Changes:
         """Return every row of a table."""
         rows: list[_Row] = []
-        version = 0
+        revision: Revision | None = None
         start = ''
         while True:
             query = {
@@ -87,13 +92,23 @@
                 '/v1/rows-get?{0}'.format(urlencode(query)),
             )
             found = _decode(answer)
-            version = version or found.ver
+            newest = Revision(self._era, found.ver)
+            revision = revision or newest
+            if revision.era != newest.era:
+                raise StoreUnavailableError(
+                    'the store was restored while its rows were read',
+                    may_have_applied=False,
+                )
             rows.extend(found.rows)
             if not found.truncated or not found.rows:
-                return Changes(_convert_rows(rows), version)
+                return Changes(
+                    _convert_rows(rows, revision.era), revision, is_whole=True
+                )
             start = '{0}\0'.format(found.rows[-1].key)
 
-    async def follow(self, table: str, after: int, wait_s: float) -> Changes:
+    async def follow(
+        self, table: str, after: Revision, wait_s: float
+    ) -> Changes:
         """Wait for changes after a version and return them."""
         client = self._feed_clients.get(table)
         if client is None:
@@ -101,7 +116,7 @@
             self._feed_clients[table] = client
         query = {
             'table': table,
-            'after': after,
+            'after': after.version,
             'wait_ms': round(wait_s * _MS_PER_S),
         }
         answer = await self._request(
@@ -110,12 +125,15 @@
             '/v1/rows-feed?{0}'.format(urlencode(query)),
             timeout_s=wait_s + _CALL_TIMEOUT_S,
         )
-        if answer.status == _GONE:
+        if answer.status == _GONE or self._era != after.era:
             raise HistoryLostError(
                 'the store no longer has the history of table {0}'.format(table)
             )
         found = _decode(answer)
-        return Changes(_convert_rows(found.rows), found.ver)
+        return Changes(
+            _convert_rows(found.rows, after.era),
+            Revision(after.era, found.ver),
+        )
 
     async def write(
         self,
@@ -123,12 +141,13 @@
         conditions: Sequence[Condition],
         bodies: Mapping[str, bytes],
         removed: Sequence[str] = (),
-    ) -> int:
+    ) -> Revision:
         """Write rows of one table atomically if the conditions hold."""
+        self._check_conditions(conditions)
         body = msgspec.json.encode(
             {
                 'precondition': [
-                    _make_row(table, one.key, ver=one.version)
+                    _make_row(table, one.key, ver=one.revision.version)
                     for one in conditions
                 ],
                 'set_keys': [
@@ -144,9 +163,9 @@
         )
         answer = await self._call('POST', '/v1/rows-tx', body)
         if answer.status == _PRECONDITION_FAILED:
-            first = conditions[0] if conditions else Condition('', 0)
-            raise ConflictError(first.key, first.version, -1)
-        return _decode(answer).ver
+            first = conditions[0] if conditions else Condition('', ORIGIN)
+            raise ConflictError(first.key, first.revision.version, -1)
+        return Revision(self._era, _decode(answer).ver)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -191,6 +210,7 @@
                 str(error),
                 may_have_applied=error.was_sent,
             ) from None
+        self._check_era(answer)
         if answer.status in {_OK, _GONE, _PRECONDITION_FAILED}:
             return answer
         raise StoreUnavailableError(
@@ -198,6 +218,28 @@
             may_have_applied=answer.status not in _BUSY_STATUSES,
         )
 
+    def _check_conditions(self, conditions: Sequence[Condition]) -> None:
+        """Refuse conditions on versions that may have been given out again."""
+        for known in conditions:
+            revision = known.revision
+            if revision.version and revision.era != self._era:
+                raise ConflictError(known.key, revision.version, -1)
+
+    def _check_era(self, answer: HttpAnswer) -> None:
+        """Record the era of an answer; reject one from an earlier era.
+
+        What an earlier era has answered may have been lost in the copy.
+        """
+        text = answer.headers.get(_ERA_HEADER, '0')
+        if not text.isdecimal() or int(text) < self._era:
+            raise StoreUnavailableError(
+                'answer from era {0} of the store, the newest is {1}'.format(
+                    text, self._era
+                ),
+                may_have_applied=True,
+            )
+        self._era = int(text)
+
 
 def _decode(answer: HttpAnswer) -> _Rows:
     try:
@@ -209,12 +251,12 @@
         ) from None
 
 
-def _convert_rows(rows: Sequence[_Row]) -> tuple[RowChange, ...]:
+def _convert_rows(rows: Sequence[_Row], era: int) -> tuple[RowChange, ...]:
     return tuple(
         RowChange(
             row.key,
             None if row.removed else base64.b64decode(row.value),
-            row.ver,
+            Revision(era, row.ver),
         )
         for row in rows
     )
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -29,6 +29,8 @@
     nudge @19 :ChangeNotice;
     carryRequest @20 :CarryRequest;
     carryReply @21 :CarryReply;
+    recallRequest @22 :RecallRequest;
+    recallReply @23 :RecallReply;
   }
 }
 
@@ -163,6 +165,7 @@
 struct TableVersion {
   table @0 :Text;
   version @1 :UInt64;
+  era @2 :UInt64;
 }
 
 struct TableQuery {
@@ -190,18 +193,30 @@
   version @1 :UInt64;
   ageS @2 :Float64;
   rows @3 :List(TableRow);
+  era @4 :UInt64;
+  isWhole @5 :Bool;
 }
 
 struct RevokeRequest {
   service @0 :Text;
   version @1 :UInt64;
   holder @2 :Text;
+  era @3 :UInt64;
 }
 
 struct RevokeReply {
   isDone @0 :Bool;
 }
 
+struct RecallRequest {
+  holder @0 :Text;
+  era @1 :UInt64;
+}
+
+struct RecallReply {
+  records @0 :List(Data);
+}
+
 struct ReachQuery {
   service @0 :Text;
   endpoint @1 :Text;
--- a/catkincrank/standins/memoryrows.py
+++ b/catkincrank/standins/memoryrows.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
+from dataclasses import dataclass
 from functools import partial
 from typing import final
 
@@ -12,6 +13,7 @@
     Changes,
     Condition,
     HistoryLostError,
+    Revision,
     RowChange,
     RowStore,
 )
@@ -21,12 +23,22 @@
 _CALL_DURATION_S = 0.004
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class _Replaced:
+    """Rows as they were before a transaction at a time."""
+
+    at: float
+    rows: Mapping[tuple[str, str], RowChange | None]
+
+
 @final
 class MemoryRows:
     """Rows that several clients share, with fault injection.
 
     Attributes:
-        version: Newest version.
+        era: Number of times the rows were restored from a copy.
+        version: Newest version within the era.
         is_down: Whether every call fails.
         rejected_clients: Names of the clients whose calls fail.
         lost_answers: Number of further writes that take effect but get no
@@ -39,6 +51,7 @@
     """
 
     def __init__(self) -> None:
+        self.era = 0
         self.version = 0
         self.is_down = False
         self.rejected_clients: set[str] = set()
@@ -49,28 +62,51 @@
         self.late_s: float = 0
         self.late: list[tuple[float, Callable[[], object]]] = []
         self.rows: dict[tuple[str, str], RowChange] = {}
+        self._replaced: list[_Replaced] = []
         self.changed = anyio.Event()
 
+    @property
+    def revision(self) -> Revision:
+        """State of the store."""
+        return Revision(self.era, self.version)
+
     def write(
         self,
         table: str,
         conditions: Sequence[Condition],
         bodies: Mapping[str, bytes | None],
-    ) -> int:
-        """Apply a transaction if its conditions hold."""
+    ) -> Revision:
+        """Apply a transaction if its conditions hold.
+
+        As in the platform's store, conditions compare versions only.
+        """
         for one in conditions:
             found = self.rows.get((table, one.key))
             exists = found is not None and found.body is not None
-            version = found.version if exists else 0
-            if version != one.version:
-                raise ConflictError(one.key, one.version, version)
+            version = found.revision.version if exists else 0
+            expected = one.revision.version
+            if version != expected:
+                raise ConflictError(one.key, expected, version)
+        self._replaced.append(
+            _Replaced(
+                anyio.current_time(),
+                {(table, key): self.rows.get((table, key)) for key in bodies},
+            )
+        )
         self.version += 1
         for key, body in bodies.items():
-            self.rows[table, key] = RowChange(key, body, self.version)
-        changed = self.changed
-        self.changed = anyio.Event()
-        changed.set()
-        return self.version
+            self.rows[table, key] = RowChange(key, body, self.revision)
+        self._notify()
+        return self.revision
+
+    def restore(self, lost_s: float) -> None:
+        """Return to the rows of ``lost_s`` ago, in a new era."""
+        since = anyio.current_time() - lost_s
+        while self._replaced and self._replaced[-1].at > since:
+            self._put_back(self._replaced.pop().rows)
+            self.version -= 1
+        self.era += 1
+        self._notify()
 
     def postpone(
         self,
@@ -95,12 +131,28 @@
     def list_rows(self, table: str, after: int = -1) -> tuple[RowChange, ...]:
         """Return the rows of a table that changed after a version."""
         found = [
-            row
+            RowChange(
+                row.key, row.body, Revision(self.era, row.revision.version)
+            )
             for (of_table, _), row in self.rows.items()
-            if of_table == table and row.version > after
+            if of_table == table and row.revision.version > after
         ]
         return tuple(sorted(found, key=_version_of))
 
+    def _put_back(
+        self, replaced: Mapping[tuple[str, str], RowChange | None]
+    ) -> None:
+        for place, row in replaced.items():
+            if row is None:
+                self.rows.pop(place)
+            else:
+                self.rows[place] = row
+
+    def _notify(self) -> None:
+        changed = self.changed
+        self.changed = anyio.Event()
+        changed.set()
+
 
 @final
 class MemoryRowStore(RowStore):
@@ -114,6 +166,7 @@
     def __init__(self, shared: MemoryRows, name: str) -> None:
         self._shared = shared
         self._name = name
+        self._era = 0
 
     async def read_table(self, table: str) -> Changes:
         """Return every row of a table."""
@@ -121,19 +174,22 @@
         live = [
             row for row in self._shared.list_rows(table) if row.body is not None
         ]
-        return Changes(tuple(live), self._shared.version)
+        return Changes(tuple(live), self._shared.revision, is_whole=True)
 
-    async def follow(self, table: str, after: int, wait_s: float) -> Changes:
+    async def follow(
+        self, table: str, after: Revision, wait_s: float
+    ) -> Changes:
         """Wait for changes after a version and return them."""
         await self._admit()
-        if after < self._shared.horizon:
-            raise HistoryLostError('compacted')
+        self._check_history(after)
         with anyio.move_on_after(wait_s):
-            while not self._shared.list_rows(table, after):
+            while not self._shared.list_rows(table, after.version):
                 await self._shared.changed.wait()
+                self._check_history(after)
         self._check()
-        found = self._shared.list_rows(table, after)
-        return Changes(found, self._shared.version)
+        self._check_history(after)
+        found = self._shared.list_rows(table, after.version)
+        return Changes(found, self._shared.revision)
 
     async def write(
         self,
@@ -141,8 +197,12 @@
         conditions: Sequence[Condition],
         bodies: Mapping[str, bytes],
         removed: Sequence[str] = (),
-    ) -> int:
+    ) -> Revision:
         """Write rows atomically if the conditions hold."""
+        for known in conditions:
+            revision = known.revision
+            if revision.version and revision.era != self._era:
+                raise ConflictError(known.key, revision.version, -1)
         await self._admit()
         rows = {**bodies, **dict.fromkeys(removed)}
         if self._shared.should_delay(rows):
@@ -152,6 +212,7 @@
         if self._shared.lost_answers:
             self._shared.lost_answers -= 1
             raise StoreUnavailableError('answer lost', may_have_applied=True)
+        self._era = written.era
         return written
 
     async def close(self) -> None:
@@ -163,9 +224,16 @@
         self._shared.apply_late_writes()
         self._check()
 
+    def _check_history(self, after: Revision) -> None:
+        shared = self._shared
+        is_known = shared.horizon <= after.version <= shared.version
+        if after.era != shared.era or not is_known:
+            raise HistoryLostError('compacted or restored')
+
     def _check(self) -> None:
         if self._shared.is_down or self._name in self._shared.rejected_clients:
             raise StoreUnavailableError('status 503', may_have_applied=False)
+        self._era = self._shared.era
 
 
 def _never(_bodies: Mapping[str, bytes | None]) -> bool:
@@ -173,4 +241,4 @@
 
 
 def _version_of(row: RowChange) -> int:
-    return row.version
+    return row.revision.version
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -12,6 +12,7 @@
 from catkincrank.gateway.peermessages import (
     ChangeNotice,
     ReachQuery,
+    RecallRequest,
     RevokeRequest,
     TableQuery,
 )
@@ -115,6 +116,7 @@
         )
         self.server = PeerServer()
         self.server.handle(RevokeRequest, revocation.answer)
+        self.server.handle(RecallRequest, revocation.answer_recall)
         self.server.handle(TableQuery, self.relay.answer)
         self.server.handle(ChangeNotice, self.relay.answer_notice)
         self.server.handle(ReachQuery, self.monitor.answer)
--- a/tests/test_gateway_configurator.py
+++ b/tests/test_gateway_configurator.py
@@ -10,7 +10,7 @@
 from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.linkprovider import LinkProvider
 from catkincrank.gateway.roster import EndpointEntry
-from catkincrank.gateway.rowstore import RowChange
+from catkincrank.gateway.rowstore import Revision, RowChange
 from tests import virtualtime
 
 ENTRY = EndpointEntry('i-1', 'svc', '10.0.0.1', 80, 'z', 3)
@@ -83,7 +83,9 @@
 def test_older_or_unreadable_configurations_are_ignored(bodies, version):
     async def scenario(configurator, groups, link_provider):
         for number, body in enumerate(bodies):
-            configurator.apply_config((RowChange('config', body, number + 1),))
+            configurator.apply_config(
+                (RowChange('config', body, Revision(0, number + 1)),)
+            )
         return groups.catalog and groups.catalog.version
 
     assert _run(scenario) == version
@@ -93,12 +95,12 @@
     async def scenario(configurator, groups, link_provider):
         configurator.apply_roster(
             (
-                RowChange('i-1', b'ok', 1),
-                RowChange('i-2', b'bad', 2),
-                RowChange('i-3', b'ok', 3),
+                RowChange('i-1', b'ok', Revision(0, 1)),
+                RowChange('i-2', b'bad', Revision(0, 2)),
+                RowChange('i-3', b'ok', Revision(0, 3)),
             ),
         )
-        configurator.apply_roster((RowChange('i-3', None, 4),))
+        configurator.apply_roster((RowChange('i-3', None, Revision(0, 4)),))
         return [entry.endpoint_id for entry in groups.roster.list_entries()]
 
     assert _run(scenario) == ['i-1']
@@ -112,7 +114,7 @@
     """
 
     async def scenario(configurator, groups, link_provider):
-        configurator.apply_config((RowChange('config', b'1', 1),))
+        configurator.apply_config((RowChange('config', b'1', Revision(0, 1)),))
         limits = [_find_share_of_entry(link_provider).limit]
         for _ in range(2):
             await anyio.sleep(0.25)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -91,7 +91,7 @@
         'vm1',
         (
             peermessages.TableVersion('op', 7),
-            peermessages.TableVersion('own', 0),
+            peermessages.TableVersion('own', 0, 4),
         ),
     ),
     'tableReply': peermessages.TableReplies(
@@ -105,10 +105,12 @@
                     peermessages.TableRow('gone', 9, b'', True),
                 ),
             ),
-            peermessages.TableReply('own', 0, -1),
+            peermessages.TableReply('own', 0, -1, (), 2, is_whole=True),
         ),
     ),
-    'revokeRequest': peermessages.RevokeRequest('svc', 41, 'vm1'),
+    'revokeRequest': peermessages.RevokeRequest('svc', 41, 'vm1', 2),
+    'recallRequest': peermessages.RecallRequest('vm1', 3),
+    'recallReply': peermessages.RecallReply((b'\0{}', b'')),
     'revokeReply': peermessages.RevokeReply(True),
     'reachQuery': peermessages.ReachQuery('svc', 'i-1'),
     'reachReply': peermessages.ReachReply(True),
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -18,7 +18,12 @@
 from catkincrank.gateway.promoter import PromotionError
 from catkincrank.gateway.reply import Failure
 from catkincrank.gateway.roster import EndpointEntry
-from catkincrank.gateway.rowstore import Condition, HistoryLostError
+from catkincrank.gateway.rowstore import (
+    ORIGIN,
+    Condition,
+    HistoryLostError,
+    Revision,
+)
 from catkincrank.gateway.statement import Kind, Prepared, Statement
 from catkincrank.httpserver import HttpResponse, HttpServer
 from catkincrank.platform.callers import parse_statement
@@ -181,6 +186,7 @@
         is_draining,
         claims_primary,
         born_ms,
+        sequence=4,
     )
 
 
@@ -383,12 +389,12 @@
 
 def test_changed_and_removed_rows_are_decoded():
     async def act(address):
-        return await PlatformStore(address).follow('t', 3, 0)
+        return await PlatformStore(address).follow('t', Revision(0, 3), 0)
 
     found = anyio.run(
         _with_server, {'GET /v1/rows-feed': _respond(200, FEED_BODY)}, act
     )
-    assert found.version == 6
+    assert found.revision == Revision(0, 6)
     assert [(row.key, row.body) for row in found.rows] == [
         ('k', b'v'),
         ('g', None),
@@ -411,7 +417,7 @@
     async def act(address):
         with pytest.raises(error) as caught:
             await PlatformStore(address).write(
-                't', [Condition('k', 0)], {'k': b'v'}
+                't', [Condition('k', ORIGIN)], {'k': b'v'}
             )
         return getattr(caught.value, 'may_have_applied', None)
 
@@ -419,10 +425,85 @@
     assert anyio.run(_with_server, routes, act) is may_have_applied
 
 
+def _respond_in_eras(*eras):
+    """Answer with the rows of one era after another; ``None`` is no header."""
+    left = list(eras)
+
+    async def answer(_request):
+        era = left.pop(0)
+        headers = {} if era is None else {'Store-Era': era}
+        return HttpResponse(FEED_BODY, headers=headers)
+
+    return answer
+
+
+@pytest.mark.parametrize(
+    ('eras', 'revisions'),
+    [
+        ((None, '1'), [Revision(0, 6), Revision(1, 6)]),
+        (('2', '2'), [Revision(2, 6), Revision(2, 6)]),
+        (('1', '0'), [Revision(1, 6), None]),
+        (('1', None), [Revision(1, 6), None]),
+        (('1', 'x'), [Revision(1, 6), None]),
+        (('-1',), [None]),
+    ],
+)
+def test_readings_carry_the_era_and_earlier_ones_are_dropped(eras, revisions):
+    async def act(address):
+        store = PlatformStore(address)
+        found = []
+        for _ in eras:
+            try:
+                found.append((await store.read_table('t')).revision)
+            except StoreUnavailableError:
+                found.append(None)
+        return found
+
+    routes = {'GET /v1/rows-get': _respond_in_eras(*eras)}
+    assert anyio.run(_with_server, routes, act) == revisions
+
+
+def test_a_write_answered_by_an_earlier_era_is_in_doubt():
+    async def act(address):
+        store = PlatformStore(address)
+        await store.read_table('t')
+        with pytest.raises(StoreUnavailableError) as caught:
+            await store.write('t', [], {'k': b'v'})
+        return caught.value.may_have_applied
+
+    routes = {
+        'GET /v1/rows-get': _respond_in_eras('1'),
+        'POST /v1/rows-tx': _respond_in_eras('0'),
+    }
+    assert anyio.run(_with_server, routes, act)
+
+
+def test_a_condition_from_an_earlier_era_is_refused_without_a_call():
+    async def act(address):
+        store = PlatformStore(address)
+        await store.read_table('t')
+        with pytest.raises(ConflictError):
+            await store.write(
+                't', [Condition('k', Revision(0, 4))], {'k': b'v'}
+            )
+
+    routes = {'GET /v1/rows-get': _respond_in_eras('1')}
+    anyio.run(_with_server, routes, act)
+
+
+def test_changes_of_a_restored_store_are_not_taken_for_later_ones():
+    async def act(address):
+        with pytest.raises(HistoryLostError):
+            await PlatformStore(address).follow('t', Revision(0, 3), 0)
+
+    routes = {'GET /v1/rows-feed': _respond_in_eras('1')}
+    anyio.run(_with_server, routes, act)
+
+
 def test_compacted_history_raises_error():
     async def act(address):
         with pytest.raises(HistoryLostError):
-            await PlatformStore(address).follow('t', 3, 0)
+            await PlatformStore(address).follow('t', Revision(0, 3), 0)
 
     anyio.run(_with_server, {'GET /v1/rows-feed': _respond(410)}, act)
 
