Keep known positions when an endpoint restarts without its log

Cause: an endpoint that started again under its identifier without its log, while the store was away, was still granted as the primary.

Change: the known position of an endpoint only rises within a term, and reads at the primary also require the beginning of its term, which a new process knows from the record.

Measured: four new cases of tests/test_gateway_evidence.py fail on the code before.

--- a/catkincrank/gateway/evidence.py
+++ b/catkincrank/gateway/evidence.py
@@ -49,7 +49,7 @@
 
     Attributes:
         grant: The newest grant, which may have expired.
-        positions: Newest known log position of each endpoint.
+        positions: Newest log position of each endpoint in the current term.
         answered_at: When each endpoint last answered, in seconds.
         granted_at: When the current primary was first granted, in seconds.
         proof: Proofs that may take the place of an expired grant.
@@ -157,7 +157,11 @@
         self.answered_at[endpoint_id] = now
         if position is None:
             return
-        self.positions[endpoint_id] = position
+        # An endpoint whose log is shorter than before was restarted without it.
+        known = self.positions.get(endpoint_id, position)
+        self.positions[endpoint_id] = max(known, position)
+        if position < known:
+            return
         grant = self.grant
         if grant is None or grant.endpoint_id != endpoint_id:
             return
@@ -182,6 +186,19 @@
             self.add_sample(*self._unproved.popleft())
         self.add_sample(asked_at, position)
 
+    def find_primary_position(self) -> Position | None:
+        """Return a position that the log of the granted primary must hold.
+
+        A primary that was restarted without its log answers reads from what it
+        has left. The beginning of its term is known before its first answer.
+        """
+        grant = self.grant
+        if grant is None:
+            return None
+        known = [base for began, base in grant.bases if began == grant.term]
+        known.append(self.positions.get(grant.endpoint_id))
+        return max(filter(None, known), default=None)
+
     def add_sample(self, taken_at: float, position: Position) -> None:
         """Store a position of the primary's log as a sample."""
         samples = self._samples
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -318,8 +318,8 @@
         if found is None:
             return None
         grant, entry = found
-        positions = self._groups.evidence(service).positions
-        return Choice(entry, positions.get(entry.endpoint_id), grant.term)
+        required = self._groups.evidence(service).find_primary_position()
+        return Choice(entry, required, grant.term)
 
     def _cost(self, entry: EndpointEntry, now: float) -> float:
         expected = self._latencies.estimate(entry, now)
--- a/catkincrank/gateway/replacement.py
+++ b/catkincrank/gateway/replacement.py
@@ -114,6 +114,13 @@
                     entry.endpoint_id,
                     entry.born_ms,
                     state.term,
+                    bases=(
+                        (
+                            state.term,
+                            state.received.term,
+                            state.received.number,
+                        ),
+                    ),
                     era=self._fleet.era,
                 )
                 await self._write(record, ORIGIN)  # noqa: WPS476
--- a/tests/test_gateway_evidence.py
+++ b/tests/test_gateway_evidence.py
@@ -52,3 +52,31 @@
     bases = ((2, Position(1, 40)), (3, Position(2, 60)))
     evidence.apply_grant(_make_grant('c', 3, bases=bases), 1)
     assert evidence.exclude_rolled_back(position) == expected
+
+
+@pytest.mark.parametrize('later', [Position(1, 0), Position(1, 37)])
+def test_an_endpoint_without_its_log_does_not_lower_what_is_known(later):
+    """Guards against stale reads at a primary restarted without its log.
+
+    A refusal for its short log was taken as its newest position, and the next
+    read was sent with it. Found by seed 2003 of the soak with restorations.
+    """
+    evidence = GroupEvidence()
+    evidence.apply_grant(_make_grant('a', 1), 1)
+    evidence.record_answer('a', Position(1, 38), 2, 3)
+    evidence.record_answer('a', later, 4, 5)
+    assert evidence.find_primary_position() == Position(1, 38)
+    assert evidence.find_covering_position(3) is None
+
+
+@pytest.mark.parametrize(
+    ('answered', 'expected'),
+    [(None, Position(1, 40)), (Position(2, 41), Position(2, 41))],
+)
+def test_a_primary_must_hold_the_beginning_of_its_term(answered, expected):
+    evidence = GroupEvidence()
+    bases = ((1, Position(0, 0)), (2, Position(1, 40)))
+    evidence.apply_grant(_make_grant('a', 2, bases=bases), 1)
+    if answered:
+        evidence.record_answer('a', answered, 2, 3)
+    assert evidence.find_primary_position() == expected
