Replace polling timers of idle processes by waits with a deadline

Cause: an idle gateway woke 314 times a second at 70 members: table copies, pools, monitors of groups whose lease it does not hold, and a heartbeat task for each link that other gateways keep to it.

Change: copies wait until their reading is too old, pools without waiters are maintained twice a second, groups are monitored once the lease was held, links between gateways send no heartbeats (they answer or time out within seconds).

--- a/catkincrank/gateway/failoverlease.py
+++ b/catkincrank/gateway/failoverlease.py
@@ -28,6 +28,8 @@
 # heartbeat renews the grants that other processes get from the holder.
 _HEARTBEAT_INTERVAL_S = 0.8
 _STEP_INTERVAL_S = 0.2
+# Longest interval between two checks of the holder, in seconds.
+_MAX_CHECK_INTERVAL_S = 0.4
 _SETTLED_POLL_S = 0.05
 # Members poll the holder twice a second. A member that has not polled for this
 # long is removed; it registers again if it is still running.
@@ -67,6 +69,7 @@
         '_settled_at',
         '_store',
         '_takeover',
+        '_taken_over',
         'held',
         'is_settled',
         'knows_all',
@@ -87,6 +90,7 @@
         self._pruned_at: float = 0
         self._settled_at: float = 0
         self._takeover = LeaseTakeover(store, fleet)
+        self._taken_over = anyio.Event()
         self.held: HeldLease | None = None
         self.is_settled = False
         self.may_confirm = False
@@ -114,6 +118,14 @@
             return False
         return now < self._confirmed_at + HOLDER_EXTENSION_S - GRANT_DURATION_S
 
+    async def wait_held(self) -> None:
+        """Wait until this process holds the lease."""
+        while not self.is_held:
+            # A takeover counts once the table has been read again.
+            limit_s = _STEP_INTERVAL_S if self.held else None
+            with anyio.move_on_after(limit_s):
+                await self._taken_over.wait()
+
     def step_down(self, cause: str) -> None:
         """Stop acting as the lease holder."""
         if self.held is not None:
@@ -145,9 +157,17 @@
         """Renew the lease or wait to take it over, until cancelled."""
         async with anyio.create_task_group() as tasks:
             while True:
-                await anyio.sleep(_STEP_INTERVAL_S)
+                await anyio.sleep(self._find_interval())
                 await self._step(tasks)
 
+    def _find_interval(self) -> float:
+        """Return the time until the next step, in seconds."""
+        if self.held is not None or not self._fleet.is_registered:
+            return _STEP_INTERVAL_S
+        now = anyio.current_time()
+        wait_s = self._takeover.find_next_check(now) - now
+        return max(_STEP_INTERVAL_S, min(_MAX_CHECK_INTERVAL_S, wait_s))
+
     async def _step(self, tasks: TaskGroup) -> None:
         if not self._fleet.is_registered:
             return
@@ -187,6 +207,8 @@
         self.is_settled = False
         self.may_confirm = False
         log_event('duty_taken', token=held.token, era=held.revision.era)
+        self._taken_over.set()
+        self._taken_over = anyio.Event()
         settle = self._settle
         if takeover.is_first_of_era:
             settle = self._settle_era
--- a/catkincrank/gateway/fleetmonitor.py
+++ b/catkincrank/gateway/fleetmonitor.py
@@ -16,7 +16,7 @@
 # The load balancer takes 2 s to stop sending new callers here; a session that
 # is closed earlier could reconnect to this process.
 _CLOSE_SESSIONS_AFTER_S = 2.2
-_CHECK_INTERVAL_S = 0.2
+_CHECK_INTERVAL_S = 0.5
 
 
 @final
--- a/catkincrank/gateway/linkpools.py
+++ b/catkincrank/gateway/linkpools.py
@@ -25,7 +25,10 @@
 # Opening a link takes the endpoint 12 ms and one round trip; a path that takes
 # longer than this is considered broken.
 _CONNECT_TIMEOUT_S = 0.5
+# Interval at which pools with waiting statements or contended links are
+# maintained, and that for all others.
 _TICK_INTERVAL_S = 0.1
+_IDLE_TICK_INTERVAL_S = 0.5
 # No route's time limit is long enough to serve a longer queue.
 _QUEUE_LENGTH = 256
 # Unused links beyond the first are closed early, so that other VMs can connect.
@@ -73,6 +76,14 @@
     runner: PoolRunner
     parked_links: ParkedLinks
 
+    @property
+    def is_urgent(self) -> bool:
+        """Whether statements wait, or other processes wait for its links."""
+        pool = self.runner.pool
+        if pool.waiting:
+            return True
+        return self.parked_links.share.is_contended and pool.held > 0
+
 
 @final
 class BorrowedLink:
@@ -155,6 +166,7 @@
         '_application',
         '_driver',
         '_find_share',
+        '_has_waiters',
         '_pools',
         '_source',
         '_tasks',
@@ -174,6 +186,7 @@
         self._ticket_ids = itertools.count(1)
         self._pools: dict[EndpointKey, _Pool] = {}
         self._find_share: _FindShare = _initial_share
+        self._has_waiters = anyio.Event()
 
     def configure(
         self,
@@ -217,6 +230,8 @@
             ticket = pool.runner.enqueue(
                 self._make_queue_entry(entry, link_request)
             )
+            if not ticket.is_decided:
+                self._has_waiters.set()
             connection_id = await pool.runner.wait(ticket)
             borrowed = BorrowedLink(entry, pool, connection_id)
             if borrowed.link.is_alive:
@@ -246,18 +261,34 @@
 
     async def run(self) -> None:
         """Maintain the pools until cancelled."""
+        maintained_at = anyio.current_time()
         while True:
-            await anyio.sleep(_TICK_INTERVAL_S)
-            self._maintain()
+            await self._await_tick()
+            now = anyio.current_time()
+            if now < maintained_at + _IDLE_TICK_INTERVAL_S:
+                self._maintain(only_urgent=True)
+            else:
+                maintained_at = now
+                self._maintain()
 
     async def close(self) -> None:
         """Close every link."""
         for pool in tuple(self._pools.values()):
             await pool.runner.close()  # noqa: WPS476
 
-    def _maintain(self) -> None:
+    async def _await_tick(self) -> None:
+        if any(pool.is_urgent for pool in self._pools.values()):
+            await anyio.sleep(_TICK_INTERVAL_S)
+            return
+        self._has_waiters = anyio.Event()
+        with anyio.move_on_after(_IDLE_TICK_INTERVAL_S):
+            await self._has_waiters.wait()
+
+    def _maintain(self, *, only_urgent: bool = False) -> None:
         now = anyio.current_time()
         for pool in tuple(self._pools.values()):
+            if only_urgent and not pool.is_urgent:
+                continue
             pool.runner.change_limit(pool.parked_links.limit(now))
             pool.runner.tick()
 
--- a/catkincrank/gateway/peers.py
+++ b/catkincrank/gateway/peers.py
@@ -139,7 +139,9 @@
 
     async def run(self, host: str, port: int) -> None:
         """Serve until cancelled."""
-        await listen(host, port, self._serve)
+        # Peers answer or time out within seconds, so that silence needs no
+        # heartbeats; a large fleet has hundreds of links to some processes.
+        await listen(host, port, self._serve, sends_heartbeats=False)
 
     async def _serve(self, link: Link) -> None:
         first = await link.receive()
--- a/catkincrank/gateway/primarymonitor.py
+++ b/catkincrank/gateway/primarymonitor.py
@@ -70,7 +70,6 @@
         '_fleet',
         '_groups',
         '_lease',
-        '_monitored',
         '_prober',
         '_replacement',
     )
@@ -90,7 +89,6 @@
         self._prober = prober
         self._replacement = replacement
         self._client = client
-        self._monitored: set[str] = set()
 
     async def answer(self, query: ReachQuery) -> ReachReply:
         """Probe an endpoint for a peer."""
@@ -101,18 +99,20 @@
         return ReachReply(is_reachable=found.is_alive)
 
     async def run(self) -> None:
-        """Monitor each group of the configuration until cancelled."""
+        """Monitor each group while the lease is held, until cancelled."""
+        monitored: set[str] = set()
+        await self._lease.wait_held()
         async with anyio.create_task_group() as tasks:
             while True:
                 catalog = self._groups.catalog
                 services = set(catalog.services) if catalog else set()
-                for service in services - self._monitored:
-                    self._monitored.add(service)
+                for service in services - monitored:
                     tasks.start_soon(
                         run_restarting,
                         'monitor of {0}'.format(service),
                         partial(self._monitor_group, service),
                     )
+                monitored |= services
                 await self._prober.retain_only(
                     self._groups.roster.list_entries()
                 )
@@ -123,8 +123,7 @@
         while True:
             if not self._lease.is_held:
                 history = _ProbeHistory()
-                await anyio.sleep(_PROBE_INTERVAL_S)
-                continue
+                await self._lease.wait_held()
             await self._check_primary(service, history)
             is_healthy = not history.failed_probes
             await anyio.sleep(
--- a/catkincrank/gateway/relay.py
+++ b/catkincrank/gateway/relay.py
@@ -123,7 +123,7 @@
                 self._extend_grants()
             is_served = not self._lease.is_held and await self._ask_sources()
             for copy in self._copies.values():
-                copy.may_skip_store = is_served
+                copy.allow_skipping(is_allowed=is_served)
             if self._max_age_s() > _STALE_S:
                 await self._ask_others()
 
--- a/catkincrank/gateway/tablecopy.py
+++ b/catkincrank/gateway/tablecopy.py
@@ -24,9 +24,10 @@
 # of the store's recovery, and the fleet must not overload the store.
 _FIRST_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.6
+# Shortest wait for a reading to become too old, in seconds.
+_MIN_WAIT_S = 0.01
 # A process cannot serve callers before its first reading, so it retries sooner.
 _MAX_START_BACKOFF_S = 0.2
-_SKIP_POLL_S = 0.1
 
 
 @final
@@ -43,8 +44,6 @@
             in seconds.
 
     Attributes:
-        may_skip_store: Whether the store need not be read while readings from
-            peers are fresh.
         read_at: When that reading was requested, on the local clock.
         store_read_at: The same for the newest reading of the store itself.
     """
@@ -56,10 +55,11 @@
         '_is_available',
         '_listeners',
         '_max_age_s',
+        '_may_skip_store',
+        '_skipping_ended',
         '_store',
         '_table',
         '_wait_s',
-        'may_skip_store',
         'read_at',
         'store_read_at',
     )
@@ -80,7 +80,8 @@
         self._max_age_s = max_age_s
         self._is_available = True
         self._has_skipped_store = False
-        self.may_skip_store = False
+        self._may_skip_store = False
+        self._skipping_ended = anyio.Event()
         self._listeners: list[Callable[[tuple[RowChange, ...]], None]] = []
         self.read_at = _NEVER
         self.store_read_at = _NEVER
@@ -118,7 +119,7 @@
         while True:
             if self._is_fresh():
                 self._has_skipped_store = True
-                await anyio.sleep(_SKIP_POLL_S)
+                await self._wait_until_stale()
                 continue
             try:
                 await self._read_once()
@@ -174,10 +175,23 @@
         """Return what changed after a revision, or the whole table."""
         return self._content.list_changes(after)
 
+    def allow_skipping(self, *, is_allowed: bool) -> None:
+        """Set whether readings from peers replace those of the store."""
+        self._may_skip_store = is_allowed
+        if not is_allowed:
+            self._skipping_ended.set()
+            self._skipping_ended = anyio.Event()
+
     def _is_fresh(self) -> bool:
         """Return whether the store need not be read now."""
         age_s = anyio.current_time() - self.read_at
-        return self.may_skip_store and age_s < self._max_age_s
+        return self._may_skip_store and age_s < self._max_age_s
+
+    async def _wait_until_stale(self) -> None:
+        """Wait until the newest reading may be too old."""
+        age_s = anyio.current_time() - self.read_at
+        with anyio.move_on_after(max(_MIN_WAIT_S, self._max_age_s - age_s)):
+            await self._skipping_ended.wait()
 
     def _apply_store_reading(self, changes: Changes, read_at: float) -> None:
         self.store_read_at = max(self.store_read_at, read_at)
--- a/catkincrank/gateway/takeover.py
+++ b/catkincrank/gateway/takeover.py
@@ -74,6 +74,12 @@
         self._fleet = fleet
         self.continues_until: float = 0
 
+    def find_next_check(self, now: float) -> float:
+        """Return when the holder may next be found silent."""
+        if self._is_vacant:
+            return now
+        return self._fleet.holder_heartbeat_at + _LEASE_TIMEOUT_S
+
     async def attempt(self) -> Takeover | None:
         """Take over if the holder is silent; return ``None`` if it is not."""
         if not self._is_holder_silent():
--- a/catkincrank/links.py
+++ b/catkincrank/links.py
@@ -215,6 +215,7 @@
     handle: Callable[[Link], Awaitable[None]],
     name: str = '',
     *,
+    sends_heartbeats: bool = True,
     task_status: TaskStatus[int] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve links until cancelled; report the port through ``task_status``.
@@ -224,11 +225,14 @@
         port: TCP port; 0 for any free one.
         handle: Serves one link; the link is closed when it returns.
         name: Name of this end, sent in heartbeats.
+        sends_heartbeats: Whether this end sends heartbeats while it is idle.
         task_status: Receives the port once listening has started.
     """
 
     async def serve(stream: Any) -> None:  # noqa: WPS430
-        await serve_link(Link(stream, name), handle)
+        await serve_link(
+            Link(stream, name), handle, sends_heartbeats=sends_heartbeats
+        )
 
     listener = await anyio.create_tcp_listener(
         local_host=host,
@@ -243,6 +247,8 @@
 async def serve_link(
     link: Link,
     handle: Callable[[Link], Awaitable[None]],
+    *,
+    sends_heartbeats: bool = True,
 ) -> None:
     """Run ``handle`` and heartbeats on ``link`` until it ends, then close it.
 
@@ -250,7 +256,8 @@
     """
     try:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(link.run_heartbeats)
+            if sends_heartbeats:
+                tasks.start_soon(link.run_heartbeats)
             await handle(link)
             tasks.cancel_scope.cancel()
     except* LinkClosedError as closed:
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -16,7 +16,12 @@
     if path.stem not in {'standin', 'trial'}
 )
 # Events of code that gateways share with other programs.
-SHARED = {'connection_refused', 'program_started', 'program_stopped'}
+SHARED = {
+    'connection_refused',
+    'link_failed',
+    'program_started',
+    'program_stopped',
+}
 
 
 def _list_calls(*names):
