Poll random peers only when a reading is about to be too old

Cause: readings that come through a relay are up to 2.2 s old, and from 1.2 s on each process polled two random peers twice a second; each query named all members, since heartbeats that were passed on were passed on again.

Change: staleness by table, relays poll four times a second, heartbeats are passed on once.

--- a/catkincrank/gateway/fleetstate.py
+++ b/catkincrank/gateway/fleetstate.py
@@ -145,7 +145,7 @@
 
     def list_silent(self, since: float) -> list[MemberRecord]:
         """Return the other members without a heartbeat since a time."""
-        heard = set(self.heartbeats.list_since(since))
+        heard = self.heartbeats.list_since(since)
         return [
             member for member in self.list_others() if member.name not in heard
         ]
@@ -207,7 +207,7 @@
             return
         member = decode_member(row.body)
         self.members[member.name] = member
-        self.heartbeats.record(member.name)
+        self.heartbeats.record_relayed(member.name)
 
     def _apply_group(self, row: RowChange) -> None:
         if row.body is None:
--- a/catkincrank/gateway/readingtree.py
+++ b/catkincrank/gateway/readingtree.py
@@ -45,6 +45,11 @@
             names = self._list_zone(zone)
             self._relays[zone] = rank_names(zone, names)[:_RELAYS_PER_ZONE]
 
+    def is_relay(self, name: str) -> bool:
+        """Return whether other members poll a member in their zone."""
+        member = self._members.get(name)
+        return member is not None and name in self._relays.get(member.zone, ())
+
     def list_sources(self, name: str) -> tuple[MemberRecord, ...]:
         """Return the members that a member polls, the preferred one first."""
         names: tuple[str, ...] = ()
--- a/catkincrank/gateway/relay.py
+++ b/catkincrank/gateway/relay.py
@@ -30,6 +30,8 @@
 
 # Interval between polls, in seconds: five polls per grant.
 _POLL_INTERVAL_S = 0.5
+# The same for a process that others poll.
+_RELAY_INTERVAL_S = 0.25
 # The same while a revoked grant needs a newer reading.
 _URGENT_INTERVAL_S = 0.1
 # A source that did not answer is not polled for this time, in seconds.
@@ -39,8 +41,9 @@
 # A process that has not polled for this long is not reported as heard.
 _HEARD_WITHIN_S = 1.5
 _ASK_TIMEOUT_S = 0.4
-# Age of a reading from which on other peers are polled too, in seconds.
-_STALE_S = 1.2
+# Share of the greatest accepted age of a reading from which on other peers are
+# polled too.
+_STALE_SHARE = 0.8
 _STALE_PEER_COUNT = 2
 _NOTICE_TIMEOUT_S = 0.3
 _NEVER_READ = -1.0
@@ -86,8 +89,9 @@
 
     async def answer(self, query: TableQuery) -> TableReplies:
         """Return the newest readings of the tables in a peer's query."""
-        for name in (query.name, *query.heard):
-            self._fleet.heartbeats.record(name)
+        self._fleet.heartbeats.record(query.name)
+        for name in query.heard:
+            self._fleet.heartbeats.record_relayed(name)
         now = anyio.current_time()
         return TableReplies(
             tuple(
@@ -113,10 +117,7 @@
     async def run(self) -> None:
         """Poll periodically until cancelled."""
         while True:
-            is_urgent = self._fleet.grants.awaits_reading
-            with anyio.move_on_after(
-                _URGENT_INTERVAL_S if is_urgent else _POLL_INTERVAL_S
-            ):
+            with anyio.move_on_after(self._find_interval()):
                 await self._wake.wait()
             self._wake = anyio.Event()
             if self._lease.is_held:
@@ -124,9 +125,16 @@
             is_served = not self._lease.is_held and await self._ask_sources()
             for copy in self._copies.values():
                 copy.allow_skipping(is_allowed=is_served)
-            if self._max_age_s() > _STALE_S:
+            if self._is_stale():
                 await self._ask_others()
 
+    def _find_interval(self) -> float:
+        """Return the time until the next poll, in seconds."""
+        if self._fleet.grants.awaits_reading:
+            return _URGENT_INTERVAL_S
+        is_relay = self._fleet.tree.is_relay(self._fleet.own_member.name)
+        return _RELAY_INTERVAL_S if is_relay else _POLL_INTERVAL_S
+
     def _describe(
         self,
         copy: TableCopy,
@@ -162,9 +170,13 @@
         if self._lease.may_extend_grants(now):
             copy.merge_reading(Changes((), copy.revision), now)
 
-    def _max_age_s(self) -> float:
+    def _is_stale(self) -> bool:
+        """Return whether a reading is about to be too old."""
         now = anyio.current_time()
-        return max(now - copy.read_at for copy in self._copies.values())
+        return any(
+            now - copy.read_at > copy.max_age_s * _STALE_SHARE
+            for copy in self._copies.values()
+        )
 
     async def _ask_sources(self) -> bool:
         """Poll a source of the reading tree; return whether one answered."""
@@ -202,7 +214,7 @@
                 )
                 for copy in self._copies.values()
             ),
-            self._fleet.heartbeats.list_since(sent_at - _HEARD_WITHIN_S),
+            self._fleet.heartbeats.list_direct(sent_at - _HEARD_WITHIN_S),
         )
         found = await self._client.ask(member, query, _ASK_TIMEOUT_S)
         if not isinstance(found, TableReplies):
--- a/catkincrank/gateway/tablecopy.py
+++ b/catkincrank/gateway/tablecopy.py
@@ -44,6 +44,7 @@
             in seconds.
 
     Attributes:
+        max_age_s: The same.
         read_at: When that reading was requested, on the local clock.
         store_read_at: The same for the newest reading of the store itself.
     """
@@ -54,12 +55,12 @@
         '_has_skipped_store',
         '_is_available',
         '_listeners',
-        '_max_age_s',
         '_may_skip_store',
         '_skipping_ended',
         '_store',
         '_table',
         '_wait_s',
+        'max_age_s',
         'read_at',
         'store_read_at',
     )
@@ -77,7 +78,7 @@
         self._content = TableRows()
         self._wait_s = wait_s
         self._gap_s = gap_s
-        self._max_age_s = max_age_s
+        self.max_age_s = max_age_s
         self._is_available = True
         self._has_skipped_store = False
         self._may_skip_store = False
@@ -185,12 +186,12 @@
     def _is_fresh(self) -> bool:
         """Return whether the store need not be read now."""
         age_s = anyio.current_time() - self.read_at
-        return self._may_skip_store and age_s < self._max_age_s
+        return self._may_skip_store and age_s < self.max_age_s
 
     async def _wait_until_stale(self) -> None:
         """Wait until the newest reading may be too old."""
         age_s = anyio.current_time() - self.read_at
-        with anyio.move_on_after(max(_MIN_WAIT_S, self._max_age_s - age_s)):
+        with anyio.move_on_after(max(_MIN_WAIT_S, self.max_age_s - age_s)):
             await self._skipping_ended.wait()
 
     def _apply_store_reading(self, changes: Changes, read_at: float) -> None:
--- a/tests/gatewayfleet.py
+++ b/tests/gatewayfleet.py
@@ -41,6 +41,7 @@
         self._name = name
 
     async def ask(self, peer, message, timeout_s):
+        self._fleet.sent_messages.append((self._name, message))
         with anyio.move_on_after(timeout_s):
             await anyio.sleep(_PEER_DELAY_S)
             node = self._fleet.nodes.get(peer.name)
@@ -141,6 +142,7 @@
     """Gateways in front of one group of endpoints.
 
     Attributes:
+        sent_messages: Requests to peers, with the names of their senders.
         promotions: Calls that asked the platform for a promotion.
         partitioned: Names of gateways that cannot reach their peers.
         conflicting_grants: Times at which gateways held grants for different
@@ -154,6 +156,7 @@
         self.group = MemoryEndpointGroup('svc', ('a', 'b', 'c'))
         self.by_service = {'svc': self.group}
         self.promotions = []
+        self.sent_messages = []
         self.partitioned = set()
         self.nodes = {}
         self.conflicting_grants = []
--- a/tests/test_gateway_readingtree.py
+++ b/tests/test_gateway_readingtree.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from catkincrank.envelope import encode_message
 from catkincrank.gateway.fleetrecords import MemberRecord
 from catkincrank.gateway.readingtree import ReadingTree
 from tests import virtualtime
@@ -111,3 +112,51 @@
     calls, ungranted_s = _count_calls(names, 12, loses_holder=True)
     assert ungranted_s < 0.5
     assert calls < 60 * 12
+
+
+def test_messages_of_a_process_do_not_grow_with_the_fleet():
+    """Guards against processes that poll random peers all the time.
+
+    Readings that came through a relay were always taken for stale, and the
+    names of all members were passed on with each query.
+    """
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(tasks)
+            fleet.start(*['x{0}'.format(one) for one in range(60)])
+            await fleet.wait_for_grants('a')
+            await anyio.sleep(8)
+            fleet.sent_messages.clear()
+            await anyio.sleep(10)
+            tasks.cancel_scope.cancel()
+        return fleet.sent_messages
+
+    sent = virtualtime.run(run)
+    names = [name for name, _ in sent]
+    # Two polls a second, twice as many by the relays.
+    assert max(Counter(names).values()) <= 42
+    assert len(names) < 60 * 10 * 2.2
+    largest = max(len(encode_message(message)) for _, message in sent)
+    # A relay names the 30 members that poll it.
+    assert largest < 2_000
+
+
+def test_a_member_that_has_ended_is_removed_from_a_large_fleet():
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(tasks)
+            fleet.start(*['x{0}'.format(one) for one in range(40)])
+            await fleet.wait_for_grants('a')
+            await anyio.sleep(8)
+            holder = fleet.lease_holder
+            ended = next(name for name in fleet.nodes if name != holder)
+            fleet.kill(ended)
+            await anyio.sleep(10)
+            members = fleet.nodes[holder].fleet_state.members
+            tasks.cancel_scope.cancel()
+        return ended, members
+
+    ended, members = virtualtime.run(run)
+    assert ended not in members
+    assert len(members) == 39
--- a/tests/test_gateway_storetables.py
+++ b/tests/test_gateway_storetables.py
@@ -55,7 +55,7 @@
                 await anyio.sleep(0.01)
                 oldest = max(oldest, anyio.current_time() - copy.read_at)
             tasks.cancel_scope.cancel()
-        return oldest, copy._max_age_s
+        return oldest, copy.max_age_s
 
     oldest, max_age_s = virtualtime.run(scenario)
     assert oldest + relay._POLL_INTERVAL_S + ANSWER_S < max_age_s
