Compress large rows between processes and let large answers arrive

Change: rows of 2 KB and more are compressed once for all peers (receivers say that they can decompress them, for builds side by side); an answer of the store may take 8 s longer as long as its parts keep arriving.

--- a/catkincrank/gateway/peermessages.py
+++ b/catkincrank/gateway/peermessages.py
@@ -50,11 +50,13 @@
         name: Name of the process that asks.
         places: Version up to which it has read each table.
         heard: Names of the processes that have asked it for readings lately.
+        accepts_compressed: Whether it can decompress rows.
     """
 
     name: str
     places: tuple[TableVersion, ...]
     heard: tuple[str, ...] = ()
+    accepts_compressed: bool = False
 
 
 @final
@@ -67,12 +69,14 @@
         version: Version of the store that wrote it.
         body: Content of the row; empty if it was removed.
         is_removed: Whether the row was removed.
+        is_compressed: Whether the content is compressed with zlib.
     """
 
     key: str
     version: int
     body: bytes
     is_removed: bool
+    is_compressed: bool = False
 
 
 @final
--- a/catkincrank/gateway/relay.py
+++ b/catkincrank/gateway/relay.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from catkincrank.errors import MessageError
 from catkincrank.gateway.failoverlease import FailoverLease
 from catkincrank.gateway.fleetrecords import MemberRecord
 from catkincrank.gateway.fleetstate import FleetState
@@ -19,12 +20,13 @@
     TableQuery,
     TableReplies,
     TableReply,
-    TableRow,
     TableVersion,
 )
 from catkincrank.gateway.peers import PeerClient
-from catkincrank.gateway.rowstore import Changes, Revision, RowChange
+from catkincrank.gateway.rowpacking import RowPacker, unpack_row
+from catkincrank.gateway.rowstore import Changes, Revision
 from catkincrank.gateway.tablecopy import TableCopy
+from catkincrank.logs import log_event
 
 __all__ = ('TableRelay',)
 
@@ -66,6 +68,7 @@
         '_copies',
         '_fleet',
         '_lease',
+        '_packer',
         '_wake',
     )
 
@@ -80,6 +83,7 @@
         self._fleet = fleet
         self._lease = lease
         self._client = client
+        self._packer = RowPacker()
         self._wake = anyio.Event()
         self._avoided_until: dict[str, float] = {}
 
@@ -95,7 +99,7 @@
         now = anyio.current_time()
         return TableReplies(
             tuple(
-                self._describe(self._copies[known.table], known, now)
+                self._describe(self._copies[known.table], known, now, query)
                 for known in query.places
                 if known.table in self._copies
             ),
@@ -140,13 +144,14 @@
         copy: TableCopy,
         known: TableVersion,
         now: float,
+        query: TableQuery,
     ) -> TableReply:
         if not copy.is_loaded:
             return TableReply(copy.table, 0, _NEVER_READ)
         changes = copy.list_changes(Revision(known.era, known.version))
         rows = tuple(
-            TableRow(
-                row.key, row.revision.version, row.body or b'', row.body is None
+            self._packer.pack(
+                copy.table, row, may_compress=query.accepts_compressed
             )
             for row in changes.rows
         )
@@ -215,24 +220,35 @@
                 for copy in self._copies.values()
             ),
             self._fleet.heartbeats.list_direct(sent_at - _HEARD_WITHIN_S),
+            accepts_compressed=True,
         )
         found = await self._client.ask(member, query, _ASK_TIMEOUT_S)
         if not isinstance(found, TableReplies):
             return False
         for reply in found.replies:
-            copy = self._copies.get(reply.table)
-            if copy is not None and reply.age_s >= 0:
-                copy.merge_reading(_as_changes(reply), sent_at - reply.age_s)
+            self._merge(reply, sent_at, member)
         return True
 
+    def _merge(
+        self, reply: TableReply, sent_at: float, member: MemberRecord
+    ) -> None:
+        copy = self._copies.get(reply.table)
+        if copy is None or reply.age_s < 0:
+            return
+        try:
+            changes = _as_changes(reply)
+        except MessageError as error:
+            log_event(
+                'reading_unreadable',
+                'WARNING',
+                table=reply.table,
+                peer=member.name,
+                cause=str(error),
+            )
+            return
+        copy.merge_reading(changes, sent_at - reply.age_s)
+
 
 def _as_changes(reply: TableReply) -> Changes:
-    rows = tuple(
-        RowChange(
-            row.key,
-            None if row.is_removed else bytes(row.body),
-            Revision(reply.era, row.version),
-        )
-        for row in reply.rows
-    )
+    rows = tuple(unpack_row(row, reply.era) for row in reply.rows)
     return Changes(rows, Revision(reply.era, reply.version), reply.is_whole)
--- a/catkincrank/httpclient.py
+++ b/catkincrank/httpclient.py
@@ -64,6 +64,31 @@
         self.protocol = h11.Connection(h11.CLIENT)
 
 
+@final
+class _Extension:
+    """Extends a time limit while a body arrives.
+
+    Args:
+        scope: Scope with the time limit.
+        limit_s: Longest time without a part of the body, in seconds.
+        transfer_s: Longest total extension, in seconds.
+    """
+
+    def __init__(
+        self, scope: anyio.CancelScope, limit_s: float, transfer_s: float
+    ) -> None:
+        self._scope = scope
+        self._limit_s = limit_s
+        self._ends_at = scope.deadline + transfer_s
+
+    def extend(self) -> None:
+        """Extend the limit after a part of the body."""
+        next_by = anyio.current_time() + self._limit_s
+        self._scope.deadline = max(
+            self._scope.deadline, min(self._ends_at, next_by)
+        )
+
+
 @final
 class HttpClient:
     """Client of one server; sends one request at a time.
@@ -88,6 +113,7 @@
         body: bytes = b'',
         headers: dict[str, str] | None = None,
         timeout_s: float | None = None,
+        transfer_s: float = 0,
     ) -> HttpAnswer:
         """Send one request and return the response.
 
@@ -97,13 +123,17 @@
             body: The body.
             headers: Further headers.
             timeout_s: Time limit in seconds; the client's default if ``None``.
+            transfer_s: Longest time over which the body may arrive beyond the
+                time limit, as long as no part of it takes longer than the
+                limit, in seconds.
 
         Raises:
             HttpError: No complete response arrived in time.
         """
         was_sent = False
         try:
-            with anyio.fail_after(timeout_s or self._timeout_s):
+            limit_s = timeout_s or self._timeout_s
+            with anyio.fail_after(limit_s) as scope:
                 async with self._lock:
                     connection = await self._open()
                     was_sent = True
@@ -111,7 +141,9 @@
                         connection, method, target, body, headers or {}
                     )
                     await connection.stream.send(sent)
-                    answer = await _read_answer(connection)
+                    answer = await _read_answer(
+                        connection, _Extension(scope, limit_s, transfer_s)
+                    )
         except _TRANSPORT_ERRORS as error:
             if was_sent:
                 await self.reset()
@@ -178,7 +210,9 @@
     return b''.join(connection.protocol.send(event) or b'' for event in events)
 
 
-async def _read_answer(connection: _Connection) -> HttpAnswer:
+async def _read_answer(
+    connection: _Connection, extension: _Extension
+) -> HttpAnswer:
     head = await _next_event(connection)
     if not isinstance(head, h11.Response):
         raise anyio.BrokenResourceError
@@ -190,6 +224,7 @@
         if not isinstance(event, h11.Data):
             raise anyio.BrokenResourceError
         body.extend(event.data)
+        extension.extend()
     headers = {
         name.decode('ascii'): text.decode('latin-1')
         for name, text in head.headers
--- a/catkincrank/platform/store.py
+++ b/catkincrank/platform/store.py
@@ -31,6 +31,9 @@
 # The platform documents 4 ms a call and 60 times that for a slow store; a call
 # that takes longer than this limit counts as lost.
 _CALL_TIMEOUT_S = 1.0
+# Time over which a large answer may arrive beyond that; a configuration takes
+# over a second on the slowest links.
+_TRANSFER_S = 8.0
 _PAGE_ROWS = 500
 # Tables that the platform and its endpoints write.
 _PLATFORM_TABLES = frozenset((CONFIG_TABLE, ROSTER_TABLE))
@@ -204,7 +207,7 @@
         headers = {'content-type': 'application/json'} if body else {}
         try:
             answer = await client.request(
-                method, target, body, headers, timeout_s
+                method, target, body, headers, timeout_s, _TRANSFER_S
             )
         except HttpError as error:
             raise StoreUnavailableError(
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -172,6 +172,7 @@
   name @0 :Text;
   places @1 :List(TableVersion);
   heard @2 :List(Text);
+  acceptsCompressed @3 :Bool;
 }
 
 struct TableReplies {
@@ -187,6 +188,7 @@
   version @1 :UInt64;
   body @2 :Data;
   isRemoved @3 :Bool;
+  isCompressed @4 :Bool;
 }
 
 struct TableReply {
--- a/tests/test_gateway_tablecopy.py
+++ b/tests/test_gateway_tablecopy.py
@@ -133,9 +133,8 @@
         restarted = TableCopy(MemoryRowStore(rows, 'holder'), 't', 0)
         await anyio.sleep(1)
         await restarted.reload()
-        relay = TableRelay.__new__(TableRelay)
-        relay._copies = {'t': restarted}
-        relay._fleet = SimpleNamespace(heartbeats=Heartbeats(), copy=None)
+        fleet = SimpleNamespace(heartbeats=Heartbeats(), copy=None)
+        relay = TableRelay((restarted,), fleet, None, None)
         query = TableQuery(
             'peer', (TableVersion('t', peer.revision.version, 0),)
         )
--- /dev/null
+++ b/tests/test_load_growing_configuration.py
@@ -0,0 +1,126 @@
+"""The configuration grows by a thousand routes on slow links.
+
+Pattern: one large row is passed on to every process. Sent as it is, it took
+longer than peers wait, was sent again with each poll, and held up the readings
+that grants depend on.
+"""
+
+import anyio
+import msgspec
+import pytest
+
+from catkincrank.envelope import encode_message
+from catkincrank.errors import MessageError
+from catkincrank.gateway import relay
+from catkincrank.gateway.peermessages import TableReplies, TableReply, TableRow
+from catkincrank.gateway.rowpacking import RowPacker, unpack_row
+from catkincrank.gateway.rowstore import Revision, RowChange
+from catkincrank.httpclient import HttpClient, HttpError
+from tests import virtualtime
+
+ROUTES = 1_500
+SLOWEST_BYTES_PER_S = 2_000_000 / 8
+
+
+def _make_row(routes=ROUTES):
+    body = msgspec.json.encode(
+        {
+            'version': 7,
+            'routes': [
+                {
+                    'name': 'route-{0}'.format(number * 7919 % 100_003),
+                    'host': 'ledger{0}x{1}'.format(number, number * 31 % 997),
+                    'type': 'read_your_writes',
+                    'service': 'svc{0}'.format(number % 10),
+                    'timeout_ms': 800,
+                    'target_latency_ms': 500,
+                    'priority': 2,
+                    'max_staleness_ms': 2500,
+                }
+                for number in range(routes)
+            ],
+        }
+    )
+    return RowChange('config', body, Revision(1, 9))
+
+
+def test_a_large_configuration_arrives_within_the_time_of_a_poll():
+    row = RowPacker().pack('op', _make_row(), may_compress=True)
+    message = TableReplies((TableReply('op', 9, 0, (row,), 1),))
+    sent_s = len(encode_message(message)) / SLOWEST_BYTES_PER_S
+    # Half of the time is left for the peer and for other data on the link.
+    assert sent_s < relay._ASK_TIMEOUT_S / 2
+
+
+@pytest.mark.parametrize('may_compress', [True, False])
+@pytest.mark.parametrize('routes', [0, 1, 1_500])
+def test_a_row_is_the_same_after_its_transfer(routes, may_compress):
+    row = _make_row(routes)
+    packed = RowPacker().pack('op', row, may_compress=may_compress)
+    assert unpack_row(packed, 1) == row
+
+
+def test_a_row_that_changed_is_compressed_again():
+    packer = RowPacker()
+    packer.pack('op', _make_row(), may_compress=True)
+    later = RowChange('config', b'x' * 5_000, Revision(1, 10))
+    packed = packer.pack('op', later, may_compress=True)
+    assert unpack_row(packed, 1) == later
+
+
+@pytest.mark.parametrize('body', [b'junk', b'x\x9c', b'\xff' * 99])
+def test_a_row_that_cannot_be_decompressed_is_refused(body):
+    row = TableRow('config', 9, body, False, is_compressed=True)
+    with pytest.raises(MessageError):
+        unpack_row(row, 1)
+
+
+class _SlowStream:
+    """Answers with a body in parts, one each ``gap_s`` seconds."""
+
+    def __init__(self, parts, gap_s):
+        head = 'HTTP/1.1 200 OK\r\ncontent-length: {0}\r\n\r\n'.format(parts)
+        self._parts = [head.encode(), *([b'x'] * parts)]
+        self._gap_s = gap_s
+
+    async def send(self, _payload):
+        """Accept a request."""
+
+    async def receive(self, _most):
+        await anyio.sleep(self._gap_s)
+        return self._parts.pop(0)
+
+    async def aclose(self):
+        """Close."""
+
+    def extra(self, _attribute):
+        raise OSError
+
+
+@pytest.mark.parametrize(
+    ('parts', 'gap_s', 'transfer_s', 'is_complete'),
+    [
+        (8, 0.2, 0, False),
+        (8, 0.2, 8, True),
+        # Longer than a part may take.
+        (3, 1.2, 8, False),
+        # Longer than the whole body may take.
+        (90, 0.2, 8, False),
+    ],
+)
+def test_a_body_may_arrive_slowly_but_not_stop(
+    parts, gap_s, transfer_s, is_complete, monkeypatch
+):
+    async def connect(_host, _port):
+        return _SlowStream(parts, gap_s)
+
+    async def scenario():
+        monkeypatch.setattr(anyio, 'connect_tcp', connect)
+        client = HttpClient('http://store', 1)
+        try:
+            answer = await client.request('GET', '/', transfer_s=transfer_s)
+        except (HttpError, OSError):
+            return False
+        return len(answer.body) == parts
+
+    assert virtualtime.run(scenario) is is_complete
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -94,6 +94,7 @@
             peermessages.TableVersion('own', 0, 4),
         ),
         ('vm2', 'vm3'),
+        accepts_compressed=True,
     ),
     'tableReply': peermessages.TableReplies(
         (
@@ -104,6 +105,7 @@
                 (
                     peermessages.TableRow('k', 8, b'\0{}\xff', False),
                     peermessages.TableRow('gone', 9, b'', True),
+                    peermessages.TableRow('big', 9, b'x', False, True),
                 ),
             ),
             peermessages.TableReply('own', 0, -1, (), 2, is_whole=True),
