--- a/catkincrank/gateway/daemon.py
+++ b/catkincrank/gateway/daemon.py
@@ -10,6 +10,7 @@
 from catkincrank.gateway.carriermessages import CarryRequest
 from catkincrank.gateway.carrierservice import CarrierService
 from catkincrank.gateway.configurator import Configurator, PlatformSchema
+from catkincrank.gateway.countedstore import CountedStore
 from catkincrank.gateway.drain import Drain
 from catkincrank.gateway.fleetmonitor import FleetMonitor
 from catkincrank.gateway.groups import Groups
@@ -53,7 +54,9 @@
         self.options = options
         self.metrics = Metrics()
         self.groups = Groups()
-        store = row_stores.find(adapter.store)(options.store)
+        store = CountedStore(
+            row_stores.find(adapter.store)(options.store), self.metrics
+        )
         self.tables = StoreTables(store, options, schema, self.groups)
         self.link_provider = LinkProvider(
             link_drivers.find(adapter.endpoints)(),
