Skip superseded versions of a large row, and judge no primary while cut off

The store's feed sends every version of a row, 25 of 250 KB; readers fell behind by 20 s, and their links were full all the while. Probes failed for that, no peer answered in time, and no votes counted as votes against: healthy primaries were replaced again and again.

Change: after a change of a large table, or two failed calls, the whole table is read until it has settled, with a pause as long as a slow reading took.

--- a/catkincrank/gateway/suspicion.py
+++ b/catkincrank/gateway/suspicion.py
@@ -83,11 +83,15 @@
     return None
 
 
-def is_voted_unreachable(votes: Iterable[bool]) -> bool:
+def is_voted_unreachable(votes: Iterable[bool], asked: int) -> bool:
     """Return whether at most half of the peers reached an endpoint.
 
+    If most peers do not answer, this process or its link is at fault, and its
+    own probes prove nothing either.
+
     Args:
         votes: For each peer that answered, whether it reached the endpoint.
+        asked: Number of peers that were asked.
     """
     known = list(votes)
-    return sum(known) * 2 <= len(known)
+    return len(known) * 2 >= asked and sum(known) * 2 <= len(known)
--- a/catkincrank/gateway/tablecopy.py
+++ b/catkincrank/gateway/tablecopy.py
@@ -24,6 +24,11 @@
 # of the store's recovery, and the fleet must not overload the store.
 _FIRST_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 0.6
+# A table of this size takes the slowest links a good part of a second. The feed
+# sends every version of a row, so that a slow reader falls further behind;
+# the whole table holds only the newest.
+_LARGE_BYTES = 65536
+_SLOW_READING_S = 0.25
 # Shortest wait for a reading to become too old, in seconds.
 _MIN_WAIT_S = 0.01
 # A process cannot serve callers before its first reading, so it retries sooner.
@@ -52,10 +57,12 @@
     __slots__ = (
         '_content',
         '_gap_s',
+        '_has_failed',
         '_has_skipped_store',
         '_is_available',
         '_listeners',
         '_may_skip_store',
+        '_prefers_whole',
         '_skipping_ended',
         '_store',
         '_table',
@@ -80,8 +87,10 @@
         self._gap_s = gap_s
         self.max_age_s = max_age_s
         self._is_available = True
+        self._has_failed = False
         self._has_skipped_store = False
         self._may_skip_store = False
+        self._prefers_whole = True
         self._skipping_ended = anyio.Event()
         self._listeners: list[Callable[[tuple[RowChange, ...]], None]] = []
         self.read_at = _NEVER
@@ -199,8 +208,8 @@
         self._apply(changes, read_at)
 
     async def _read_once(self) -> None:
-        if not self.is_loaded:
-            await self.reload()
+        if self._prefers_whole:
+            await self._read_whole()
             return
         started = anyio.current_time()
         after = self.revision
@@ -212,12 +221,39 @@
             log_event('history_lost', table=self._table, version=str(after))
             await self.reload()
             return
+        except StoreUnavailableError:
+            # What did not arrive may be a row that has become large.
+            self._prefers_whole = self._is_large or self._has_failed
+            self._has_failed = True
+            raise
+        self._has_failed = False
         if found.revision < self.revision:
             return
         self._apply_store_reading(found, started)
+        self._prefers_whole = bool(found.rows) and self._is_large
         if found.rows and self._gap_s:
             await anyio.sleep(self._gap_s)
 
+    async def _read_whole(self) -> None:
+        """Read the newest rows, until a reading shows no change.
+
+        Pauses as long as a slow reading took, so that a large table takes at
+        most half of the link.
+        """
+        started = anyio.current_time()
+        before = dict(self.rows)
+        await self.reload()
+        took_s = anyio.current_time() - started
+        is_slow = self._is_large and took_s > _SLOW_READING_S
+        self._prefers_whole = is_slow and before != self.rows
+        if self._prefers_whole:
+            await anyio.sleep(took_s)
+
+    @property
+    def _is_large(self) -> bool:
+        size = sum(len(row.body or b'') for row in self.rows.values())
+        return size >= _LARGE_BYTES
+
     def _apply(self, changes: Changes, read_at: float) -> None:
         if self.is_loaded and changes.revision.era > self.revision.era:
             self._log_restoration(changes)
--- a/catkincrank/platform/store.py
+++ b/catkincrank/platform/store.py
@@ -128,6 +128,8 @@
             'GET',
             '/v1/rows-feed?{0}'.format(urlencode(query)),
             timeout_s=wait_s + _CALL_TIMEOUT_S,
+            # It may hold every version of a large row since the last call.
+            transfer_s=0,
         )
         if answer.status == _GONE or self._era != after.era:
             raise HistoryLostError(
@@ -203,11 +205,12 @@
         target: str,
         body: bytes = b'',
         timeout_s: float | None = None,
+        transfer_s: float = _TRANSFER_S,
     ) -> HttpAnswer:
         headers = {'content-type': 'application/json'} if body else {}
         try:
             answer = await client.request(
-                method, target, body, headers, timeout_s, _TRANSFER_S
+                method, target, body, headers, timeout_s, transfer_s
             )
         except HttpError as error:
             raise StoreUnavailableError(
--- a/tests/test_load_growing_configuration.py
+++ b/tests/test_load_growing_configuration.py
@@ -10,11 +10,17 @@
 import pytest
 
 from catkincrank.envelope import encode_message
-from catkincrank.errors import MessageError
+from catkincrank.errors import MessageError, StoreUnavailableError
 from catkincrank.gateway import relay
 from catkincrank.gateway.peermessages import TableReplies, TableReply, TableRow
 from catkincrank.gateway.rowpacking import RowPacker, unpack_row
-from catkincrank.gateway.rowstore import Revision, RowChange
+from catkincrank.gateway.rowstore import (
+    Changes,
+    Revision,
+    RowChange,
+    RowStore,
+)
+from catkincrank.gateway.tablecopy import TableCopy
 from catkincrank.httpclient import HttpClient, HttpError
 from tests import virtualtime
 
@@ -124,3 +130,74 @@
         return len(answer.body) == parts
 
     assert virtualtime.run(scenario) is is_complete
+
+
+class _FeedOverLink(RowStore):
+    """A store on a slow link, whose feed sends every version of a row."""
+
+    def __init__(self):
+        self.versions = [_make_row(1).body]
+        self.sent_bytes = 0
+
+    async def read_table(self, table):
+        version = len(self.versions)
+        await self._send([self.versions[-1]])
+        row = RowChange('config', self.versions[version - 1], _at(version))
+        return Changes((row,), _at(version), is_whole=True)
+
+    async def follow(self, table, after, wait_s):
+        with anyio.move_on_after(wait_s):
+            while len(self.versions) == after.version:
+                await anyio.sleep(0.01)
+        version = len(self.versions)
+        bodies = self.versions[after.version : version]
+        with anyio.move_on_after(1):
+            await self._send(bodies)
+            rows = tuple(
+                RowChange('config', body, _at(after.version + number + 1))
+                for number, body in enumerate(bodies)
+            )
+            return Changes(rows, _at(version))
+        raise StoreUnavailableError('no answer', may_have_applied=False)
+
+    async def write(self, table, conditions, bodies, removed=()):
+        raise NotImplementedError
+
+    async def close(self):
+        """Do nothing."""
+
+    async def _send(self, bodies):
+        for body in bodies:
+            await anyio.sleep(len(body) * 4 / 3 / SLOWEST_BYTES_PER_S)
+            self.sent_bytes += len(body)
+
+
+def _at(version):
+    return Revision(0, version)
+
+
+def test_a_slow_reader_does_not_fall_behind_a_series_of_changes():
+    """The feed sent each of 25 versions; the last arrived 20 s late."""
+
+    async def scenario():
+        store = _FeedOverLink()
+        copy = TableCopy(store, 'op', 1.0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(copy.run)
+            await anyio.sleep(2)
+            store.versions.append(_make_row().body)
+            await anyio.sleep(2)
+            for number in range(25):
+                store.versions.append(_make_row(ROUTES + number).body)
+                await anyio.sleep(0.2)
+            ended_at = anyio.current_time()
+            while copy.revision.version < len(store.versions):
+                await anyio.sleep(0.05)
+            took_s = anyio.current_time() - ended_at
+            tasks.cancel_scope.cancel()
+        return took_s, store.sent_bytes
+
+    took_s, sent_bytes = virtualtime.run(scenario)
+    # The bound of the configuration on these deployments is 6 s.
+    assert took_s < 6
+    assert sent_bytes < 9 * len(_make_row().body)
