Accept older readings of a table that takes long to read

The configuration still changed now and then; its holder takes 1.4 s to read it and pauses as long, so that its reading was older than peers accept, and all 18 processes read the row from the store.

Change: a reading tells how long the store takes to send the table, and may be older by twice that.

Measured: tests/test_load_growing_configuration.py.

--- a/catkincrank/gateway/peermessages.py
+++ b/catkincrank/gateway/peermessages.py
@@ -91,6 +91,8 @@
         rows: Rows that changed after the version in the query.
         era: Era of the version, and of those of the rows.
         is_whole: Whether the table has no other rows.
+        reading_s: How long the store takes to send the table, in seconds; 0 if
+            that is not noticeable.
     """
 
     table: str
@@ -99,6 +101,7 @@
     rows: tuple[TableRow, ...] = ()
     era: int = 0
     is_whole: bool = False
+    reading_s: float = 0
 
 
 @register_message('tableReply')
--- a/catkincrank/gateway/relay.py
+++ b/catkincrank/gateway/relay.py
@@ -166,6 +166,7 @@
             rows,
             changes.revision.era,
             changes.is_whole,
+            copy.reading_s,
         )
 
     def _extend_grants(self) -> None:
@@ -246,7 +247,7 @@
                 cause=str(error),
             )
             return
-        copy.merge_reading(changes, sent_at - reply.age_s)
+        copy.merge_reading(changes, sent_at - reply.age_s, reply.reading_s)
 
 
 def _as_changes(reply: TableReply) -> Changes:
--- a/catkincrank/gateway/tablecopy.py
+++ b/catkincrank/gateway/tablecopy.py
@@ -49,7 +49,8 @@
             in seconds.
 
     Attributes:
-        max_age_s: The same.
+        reading_s: How long a reading of the whole table takes, in seconds; 0 if
+            that is not noticeable.
         read_at: When that reading was requested, on the local clock.
         store_read_at: The same for the newest reading of the store itself.
     """
@@ -61,14 +62,15 @@
         '_has_skipped_store',
         '_is_available',
         '_listeners',
+        '_max_age_s',
         '_may_skip_store',
         '_prefers_whole',
         '_skipping_ended',
         '_store',
         '_table',
         '_wait_s',
-        'max_age_s',
         'read_at',
+        'reading_s',
         'store_read_at',
     )
 
@@ -85,7 +87,8 @@
         self._content = TableRows()
         self._wait_s = wait_s
         self._gap_s = gap_s
-        self.max_age_s = max_age_s
+        self._max_age_s = max_age_s
+        self.reading_s: float = 0
         self._is_available = True
         self._has_failed = False
         self._has_skipped_store = False
@@ -111,6 +114,15 @@
         """State of the store at the newest reading."""
         return self._content.revision
 
+    @property
+    def max_age_s(self) -> float:
+        """Age up to which a reading from a peer replaces an own one.
+
+        A table that takes long to read is older when it arrives, and the next
+        reading follows a pause.
+        """
+        return self._max_age_s + 2 * self.reading_s
+
     @property
     def is_loaded(self) -> bool:
         """Whether the table has been read at least once."""
@@ -169,7 +181,9 @@
             return False
         return True
 
-    def merge_reading(self, changes: Changes, read_at: float) -> None:
+    def merge_reading(
+        self, changes: Changes, read_at: float, reading_s: float = 0
+    ) -> None:
         """Apply a reading of another process if it is newer.
 
         After a restoration of the store only a whole reading replaces the rows
@@ -179,6 +193,7 @@
         if not (is_same_era or changes.is_whole):
             return
         if changes.revision >= self.revision and read_at > self.read_at:
+            self.reading_s = reading_s
             self._apply(changes, read_at)
 
     def list_changes(self, after: Revision) -> Changes:
@@ -231,6 +246,8 @@
             return
         self._apply_store_reading(found, started)
         self._prefers_whole = bool(found.rows) and self._is_large
+        if not found.rows:
+            self.reading_s = 0
         if found.rows and self._gap_s:
             await anyio.sleep(self._gap_s)
 
@@ -245,6 +262,7 @@
         await self.reload()
         took_s = anyio.current_time() - started
         is_slow = self._is_large and took_s > _SLOW_READING_S
+        self.reading_s = took_s if is_slow else 0
         self._prefers_whole = is_slow and before != self.rows
         if self._prefers_whole:
             await anyio.sleep(took_s)
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -198,6 +198,7 @@
   rows @3 :List(TableRow);
   era @4 :UInt64;
   isWhole @5 :Bool;
+  readingS @6 :Float64;
 }
 
 struct RevokeRequest {
--- a/tests/test_load_growing_configuration.py
+++ b/tests/test_load_growing_configuration.py
@@ -141,11 +141,13 @@
 
     async def read_table(self, table):
         version = len(self.versions)
+        self.sent_bytes += 1
         await self._send([self.versions[-1]])
         row = RowChange('config', self.versions[version - 1], _at(version))
         return Changes((row,), _at(version), is_whole=True)
 
     async def follow(self, table, after, wait_s):
+        self.sent_bytes += 1
         with anyio.move_on_after(wait_s):
             while len(self.versions) == after.version:
                 await anyio.sleep(0.01)
@@ -201,3 +203,30 @@
     # The bound of the configuration on these deployments is 6 s.
     assert took_s < 6
     assert sent_bytes < 9 * len(_make_row().body)
+
+
+@pytest.mark.parametrize(
+    ('reading_s', 'reads_store'), [(0, True), (1.4, False)]
+)
+def test_readers_do_not_all_turn_to_the_store_when_its_answers_take_long(
+    reading_s, reads_store
+):
+    """Guards against a fleet in which each process reads a large table.
+
+    Its readings from peers were older than accepted, as the source itself takes
+    long to read it, and with all processes reading none got it in time.
+    """
+
+    async def scenario():
+        store = _FeedOverLink()
+        copy = TableCopy(store, 'op', 1.0, max_age_s=2.8)
+        copy.allow_skipping(is_allowed=True)
+        row = RowChange('config', _make_row().body, _at(1))
+        whole = Changes((row,), _at(1), is_whole=True)
+        read_at = anyio.current_time() - 4
+        copy.merge_reading(whole, read_at, reading_s)
+        with anyio.move_on_after(0.5):
+            await copy.run()
+        return store.sent_bytes
+
+    assert (virtualtime.run(scenario) > 0) is reads_store
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -108,7 +108,7 @@
                     peermessages.TableRow('big', 9, b'x', False, True),
                 ),
             ),
-            peermessages.TableReply('own', 0, -1, (), 2, is_whole=True),
+            peermessages.TableReply('own', 0, -1, (), 2, True, 1.5),
         ),
     ),
     'revokeRequest': peermessages.RevokeRequest('svc', 41, 'vm1', 2, ('vm2',)),
