Read a table whole only after a change that is itself large

Cause: at 2,100 members the fleet's table is large, and each heartbeat of the holder would have been followed by a reading of the whole table.

--- a/catkincrank/gateway/tablecopy.py
+++ b/catkincrank/gateway/tablecopy.py
@@ -1,7 +1,7 @@
 """Local copy of one table of the platform's store."""
 
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import final
 
 import anyio
@@ -245,7 +245,7 @@
         if found.revision < self.revision:
             return
         self._apply_store_reading(found, started)
-        self._prefers_whole = bool(found.rows) and self._is_large
+        self._prefers_whole = _measure(found.rows) >= _LARGE_BYTES
         if not found.rows:
             self.reading_s = 0
         if found.rows and self._gap_s:
@@ -269,8 +269,7 @@
 
     @property
     def _is_large(self) -> bool:
-        size = sum(len(row.body or b'') for row in self.rows.values())
-        return size >= _LARGE_BYTES
+        return _measure(self.rows.values()) >= _LARGE_BYTES
 
     def _apply(self, changes: Changes, read_at: float) -> None:
         if self.is_loaded and changes.revision.era > self.revision.era:
@@ -309,3 +308,8 @@
                 table=self._table,
                 version=str(self.revision),
             )
+
+
+def _measure(rows: Iterable[RowChange]) -> int:
+    """Return the size of the rows' contents, in bytes."""
+    return sum(len(row.body or b'') for row in rows)
--- a/tests/test_load_growing_configuration.py
+++ b/tests/test_load_growing_configuration.py
@@ -22,6 +22,7 @@
 )
 from catkincrank.gateway.tablecopy import TableCopy
 from catkincrank.httpclient import HttpClient, HttpError
+from catkincrank.standins.memoryrows import MemoryRows, MemoryRowStore
 from tests import virtualtime
 
 ROUTES = 1_500
@@ -230,3 +231,44 @@
         return store.sent_bytes
 
     assert (virtualtime.run(scenario) > 0) is reads_store
+
+
+def test_small_changes_of_a_large_table_are_not_answered_by_whole_readings():
+    """Guards against a whole reading for each heartbeat in a large fleet."""
+
+    async def scenario():
+        rows = MemoryRows()
+        members = {'member/{0}'.format(one): b'x' * 150 for one in range(2_100)}
+        rows.write('t', [], members)
+        store = _CountedReads(MemoryRowStore(rows, 'vm'))
+        copy = TableCopy(store, 't', 1.0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(copy.run)
+            for _ in range(10):
+                await anyio.sleep(0.8)
+                rows.write('t', [], {'beat': b'{}'})
+            tasks.cancel_scope.cancel()
+        return store.whole_readings
+
+    assert virtualtime.run(scenario) == 1
+
+
+class _CountedReads(RowStore):
+    """Counts readings of whole tables."""
+
+    def __init__(self, store):
+        self._store = store
+        self.whole_readings = 0
+
+    async def read_table(self, table):
+        self.whole_readings += 1
+        return await self._store.read_table(table)
+
+    async def follow(self, table, after, wait_s):
+        return await self._store.follow(table, after, wait_s)
+
+    async def write(self, table, conditions, bodies, removed=()):
+        raise NotImplementedError
+
+    async def close(self):
+        """Do nothing."""
