--- a/catkincrank/gateway/failoverlease.py
+++ b/catkincrank/gateway/failoverlease.py
@@ -38,9 +38,6 @@
 # A confirmation that took longer than this, a third of the lease time-out, is
 # not accepted and has to be requested again.
 _CONFIRM_LIMIT_S = 1.0
-# A process that resigned does not take the lease over for this time, in which
-# others see its silence.
-_RESIGNED_S = 6.0
 # A promotion that an unknown holder of the earlier era confirmed just before
 # takes effect within this time.
 _PROMOTION_LIMIT_S = _CONFIRM_LIMIT_S + 1.0
@@ -138,11 +135,6 @@
         self.may_confirm = False
         self.knows_all = False
 
-    def resign(self, cause: str) -> None:
-        """Step down and leave the lease to another process."""
-        self._takeover.barred_until = anyio.current_time() + _RESIGNED_S
-        self.step_down(cause)
-
     async def wait_settled(self) -> bool:
         """Wait until the lease is settled; return whether it is still held."""
         while self.is_held and not self.is_settled:
--- a/catkincrank/gateway/primarymonitor.py
+++ b/catkincrank/gateway/primarymonitor.py
@@ -33,9 +33,6 @@
 # Peers that vote on a primary. Each opens a connection to it, and endpoints
 # accept fewer connections than a large fleet has members.
 _MAX_VOTERS = 11
-# A lease holder without a heartbeat of any peer for this long cannot judge the
-# endpoints, in seconds; peers poll it two to four times a second.
-_ISOLATION_S = 2.0
 # Interval at which the configuration is checked for new services, in seconds.
 _SERVICE_SCAN_INTERVAL_S = 0.4
 # Answered statements replace probes, but the role of a primary is still probed
@@ -243,12 +240,4 @@
             for answer in answers.values()
             if isinstance(answer, ReachReply)
         ]
-        self._check_isolation()
         return is_voted_unreachable(votes, len(voters))
-
-    def _check_isolation(self) -> None:
-        """Give up the lease if no peer has been heard from for some time."""
-        since = anyio.current_time() - _ISOLATION_S
-        has_peers = bool(self._fleet.list_others())
-        if has_peers and not self._fleet.heartbeats.list_since(since):
-            self._lease.resign('no peer has been heard from')
--- a/catkincrank/gateway/takeover.py
+++ b/catkincrank/gateway/takeover.py
@@ -65,16 +65,14 @@
         continues_until: Until then, a process that took over from this one
             unnoticed has promoted nothing, as it waits for grants that this
             one may have extended.
-        barred_until: Until then, this process does not take over.
     """
 
-    __slots__ = ('_fleet', '_store', 'barred_until', 'continues_until')
+    __slots__ = ('_fleet', '_store', 'continues_until')
 
     def __init__(self, store: RowStore, fleet: FleetState) -> None:
         self._store = store
         self._fleet = fleet
         self.continues_until: float = 0
-        self.barred_until: float = 0
 
     def find_next_check(self, now: float) -> float:
         """Return when the holder may next be found silent."""
@@ -84,8 +82,7 @@
 
     async def attempt(self) -> Takeover | None:
         """Take over if the holder is silent; return ``None`` if it is not."""
-        is_barred = anyio.current_time() < self.barred_until
-        if is_barred or not self._is_holder_silent():
+        if not self._is_holder_silent():
             return None
         era = self._fleet.era
         await anyio.sleep(self._choose_delay())
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -182,6 +182,25 @@
     _check_promotions(fleet)
 
 
+def test_the_only_gateway_left_replaces_a_lost_primary():
+    """Guards against a holder that waits for votes of peers that are gone.
+
+    They are removed from the fleet's table after 6 s of silence.
+    """
+
+    async def scenario(fleet):
+        for name in tuple(fleet.nodes):
+            if name != fleet.lease_holder:
+                fleet.kill(name)
+        await _lose_primary(fleet)
+        began = anyio.current_time()
+        while set(fleet.granted.values()) - {'b', 'c'}:
+            await anyio.sleep(0.05)
+            assert anyio.current_time() < began + 14, fleet.granted
+
+    _check_promotions(_run(scenario))
+
+
 def test_a_leaving_primary_is_replaced_without_losing_commits():
     async def scenario(fleet):
         for _ in range(3):
