Refuse messages that announce lists of over 65,536 elements

Cause: a damaged message of some hundred bytes can announce 500 million empty elements; decoding it held the process up for minutes. Change: a list longer than any message holds is refused.

--- a/catkincrank/codec.py
+++ b/catkincrank/codec.py
@@ -14,6 +14,8 @@
 
 __all__ = ('build_reader', 'build_writer')
 
+# More than any message holds; each element takes microseconds to decode.
+_MAX_LIST_LENGTH = 65536
 _Write = Callable[[Any, Any], None]
 _Read = Callable[[Any], Any]
 _WriteField = Callable[[Any, str, Any], None]
@@ -62,9 +64,9 @@
     if is_dataclass(hint):
         return _make_struct_writer(build_writer(hint))
     if typing.get_origin(hint) is tuple:
-        return _choose_list_writer(_get_inner_hint(hint))
+        return _choose_list_writer(typing.get_args(hint)[0])
     if _is_optional(hint):
-        return _make_optional_writer(_get_inner_hint(hint))
+        return _make_optional_writer(typing.get_args(hint)[0])
     if _is_enum(hint):
         return _write_enum
     return setattr
@@ -74,9 +76,9 @@
     if is_dataclass(hint):
         return _make_struct_reader(build_reader(hint))
     if typing.get_origin(hint) is tuple:
-        return _choose_list_reader(_get_inner_hint(hint))
+        return _choose_list_reader(typing.get_args(hint)[0])
     if _is_optional(hint):
-        return _make_optional_reader(_get_inner_hint(hint))
+        return _make_optional_reader(typing.get_args(hint)[0])
     if _is_enum(hint):
         return lambda reader, member: hint(str(getattr(reader, member)))
     return getattr
@@ -129,9 +131,25 @@
 
 def _choose_list_reader(hint: Any) -> _ReadField:
     if not is_dataclass(hint):
-        return lambda reader, member: tuple(getattr(reader, member))
+        return lambda reader, member: tuple(_bound(getattr(reader, member)))
     read = build_reader(hint)
-    return lambda reader, member: tuple(map(read, getattr(reader, member)))
+    return lambda reader, member: tuple(
+        map(read, _bound(getattr(reader, member)))
+    )
+
+
+def _bound(found: Any) -> Any:
+    """Return a list unless it is too long.
+
+    A damaged message of a few bytes can announce a list of 500 million empty
+    elements.
+
+    Raises:
+        ValueError: The list is too long.
+    """
+    if len(found) > _MAX_LIST_LENGTH:
+        raise ValueError('list of {0} elements'.format(len(found)))
+    return found
 
 
 def _write_list(builder: Any, member: str, content: Any) -> None:
@@ -153,7 +171,3 @@
 
 def _is_enum(hint: Any) -> bool:
     return isinstance(hint, type) and issubclass(hint, enum.Enum)
-
-
-def _get_inner_hint(hint: Any) -> Any:
-    return typing.get_args(hint)[0]
