Stop acting as the holder once the store has refused a write

Cause: a holder that got a conflict read the table again before it stepped down, and counted as the holder meanwhile; it could extend the grants of its peers, as far as its last confirmed heartbeat allowed. Change: it does not count as the holder from the refusal on. Measured: test_a_holder_whose_write_is_refused_stops_acting_at_once fails on the code before ([True] == [False]) and passes.

--- a/catkincrank/gateway/failoverlease.py
+++ b/catkincrank/gateway/failoverlease.py
@@ -64,6 +64,7 @@
         '_confirmed_at',
         '_fleet',
         '_heartbeat_at',
+        '_is_refused',
         '_pruned_at',
         '_revocation',
         '_settled_at',
@@ -91,6 +92,8 @@
         self._settled_at: float = 0
         self._takeover = LeaseTakeover(store, fleet)
         self._taken_over = anyio.Event()
+        # Whether the store has just refused a write of the holder.
+        self._is_refused = False
         self.held: HeldLease | None = None
         self.is_settled = False
         self.may_confirm = False
@@ -105,7 +108,7 @@
     def is_held(self) -> bool:
         """Whether this process holds the lease, as far as it knows."""
         holder = self._fleet.holder
-        if self.held is None or holder is None:
+        if self.held is None or holder is None or self._is_refused:
             return False
         newest = max(holder[0], self._fleet.grants.takeover_revision)
         if self._is_lease_of_earlier_era():
@@ -278,10 +281,12 @@
 
         Unless the store was restored, another process has taken over.
         """
-        await self._fleet.copy.try_reload()
-        self._check_holder()
-        if self.held is not None:
-            self.step_down('the store names another holder')
+        self._is_refused = True
+        try:  # noqa: WPS501
+            await self._fleet.copy.try_reload()
+        finally:
+            self._check_holder()
+            self._is_refused = False
 
     async def _prune(self) -> None:
         """Remove members that are gone, so that no process waits for them."""
--- a/tests/test_gateway_failover.py
+++ b/tests/test_gateway_failover.py
@@ -3,6 +3,12 @@
 import anyio
 import pytest
 
+from catkincrank.gateway.fleetrecords import (
+    FLEET_TABLE,
+    HOLDER_KEY,
+    HolderRecord,
+    encode_record,
+)
 from tests import virtualtime
 from tests.gatewayfleet import Fleet
 
@@ -201,6 +207,44 @@
     _check_promotions(_run(scenario))
 
 
+def test_a_holder_whose_write_is_refused_stops_acting_at_once():
+    """Guards against two holders while the refused one reads the table.
+
+    It counted as the holder until the reading had arrived, and extended the
+    grants of its peers meanwhile.
+    """
+
+    async def scenario(fleet):
+        node = fleet.nodes[fleet.lease_holder]
+        store = node.lease._store
+        read_table = store.read_table
+        seen = []
+
+        async def read_slowly(table):
+            seen.append(node.lease.is_held)
+            await anyio.sleep(3)
+            return await read_table(table)
+
+        taken = HolderRecord('other', 'incarnation', 'lease')
+        fleet.rows.write(FLEET_TABLE, [], {HOLDER_KEY: encode_record(taken)})
+        node.fleet_state.copy.allow_skipping(is_allowed=True)
+        node.fleet_state.copy._store = _Slow(store, read_slowly)
+        await node.lease._send_heartbeat(anyio.current_time())
+        assert seen == [False]
+        assert not node.lease.is_held
+
+    _run(scenario)
+
+
+class _Slow:
+    """A store whose readings of whole tables are slow."""
+
+    def __init__(self, store, read_table):
+        self.read_table = read_table
+        self.follow = store.follow
+        self.write = store.write
+
+
 def test_a_leaving_primary_is_replaced_without_losing_commits():
     async def scenario(fleet):
         for _ in range(3):
