Decode organisations, their limits and their keys from the configuration

Cause: the gateway knew no organisations; keys of callers were kept as names of users. Change: the catalog has organisations (name, rate, burst, priority) and their keys by digest, routes tell whether they are public, and the caller's key is replaced by a digest where it is decoded. Sessions and requests for links have room for the organisation; nothing uses it yet, and configurations without organisations decode as before. The adapter may import the module of key digests: keys must not leave it.

--- a/catkincrank/gateway/callers.py
+++ b/catkincrank/gateway/callers.py
@@ -35,11 +35,11 @@
 
     Attributes:
         database: Database that the caller asks for.
-        user: User name that the caller gives.
+        credential: Digest of the key that the caller gives.
     """
 
     database: str
-    user: str
+    credential: bytes = b''
 
 
 @final
--- a/catkincrank/gateway/catalog.py
+++ b/catkincrank/gateway/catalog.py
@@ -2,10 +2,10 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import final
 
-__all__ = ('Catalog', 'Consistency', 'Route', 'Service')
+__all__ = ('Catalog', 'Consistency', 'Organisation', 'Route', 'Service')
 
 
 @final
@@ -34,6 +34,7 @@
         timeout_s: Time limit of one statement, in seconds.
         target_latency_s: Target latency of an operation, in seconds.
         priority: Priority in the queue; 0 is served first.
+        is_public: Whether callers need no key.
     """
 
     name: str
@@ -44,6 +45,7 @@
     timeout_s: float
     target_latency_s: float
     priority: int
+    is_public: bool = False
 
 
 @final
@@ -64,6 +66,24 @@
     sync_replicas: int
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """A customer whose callers identify themselves by keys.
+
+    Attributes:
+        name: Name that endpoints are told.
+        rate_per_s: Operations that all VMs together may run per second.
+        burst: Operations that they may run beyond that rate at once.
+        priority: Priority of its operations; 0 is served first.
+    """
+
+    name: str
+    rate_per_s: float
+    burst: float
+    priority: int = 0
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class Catalog:
@@ -75,9 +95,14 @@
         services: Services by name.
         transaction_idle_s: Time after which a transaction without a
             statement may be rolled back, in seconds.
+        organisations: Organisations by name; ``None`` where callers need no
+            keys.
+        keys: Name of the organisation by the digest of each of its keys.
     """
 
     version: int
     routes: Mapping[str, Route]
     services: Mapping[str, Service]
     transaction_idle_s: float
+    organisations: Mapping[str, Organisation] | None = None
+    keys: Mapping[bytes, str] = field(default_factory=dict)
--- a/catkincrank/gateway/execution.py
+++ b/catkincrank/gateway/execution.py
@@ -78,6 +78,7 @@
             now,
             now + route.timeout_s,
             session.writes(statement),
+            session.organisation,
         )
         while True:
             choice, borrowed = await self._placement.place(request)
--- a/catkincrank/gateway/linkpools.py
+++ b/catkincrank/gateway/linkpools.py
@@ -63,11 +63,14 @@
         route: Name of the route.
         priority: Queue priority; 0 is served first.
         deadline: When the statement leaves the queue.
+        organisation: Organisation that the link must belong to; empty for a
+            link of the process itself.
     """
 
     route: str
     priority: int
     deadline: float
+    organisation: str = ''
 
 
 @final
--- /dev/null
+++ b/catkincrank/gateway/organisations/__init__.py
@@ -0,0 +1,1 @@
+"""Organisations: their keys, and limits that all VMs keep together."""
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -73,6 +73,7 @@
         arrived_at: When the statement, or its transaction, arrived.
         deadline: When the statement times out.
         is_write: Whether it has to run at the primary.
+        organisation: Organisation of the caller; empty for none.
         excluded: Endpoints that have refused it recently.
         refused: Failure of the last refusal.
         refusal_count: Number of refusals so far.
@@ -83,6 +84,7 @@
     arrived_at: float
     deadline: float
     is_write: bool
+    organisation: str = ''
     excluded: set[str] = field(default_factory=set)
     refused: Failure = Failure.OVERLOADED
     refusal_count: int = 0
@@ -90,7 +92,12 @@
     @property
     def link_request(self) -> LinkRequest:
         """The request with which the statement queues for a link."""
-        return LinkRequest(self.route.name, self.route.priority, self.deadline)
+        return LinkRequest(
+            self.route.name,
+            self.route.priority,
+            self.deadline,
+            self.organisation,
+        )
 
     @property
     def needs_primary(self) -> bool:
--- a/catkincrank/gateway/reply.py
+++ b/catkincrank/gateway/reply.py
@@ -28,6 +28,7 @@
     UNKNOWN_NAME = 'no prepared statement has that name'
     MALFORMED = 'the request is not accepted in this state'
     UNKNOWN_DATABASE = 'no route has that database'
+    DENIED = 'no organisation has that key'
 
     @property
     def verdict(self) -> Verdict:
--- a/catkincrank/gateway/session.py
+++ b/catkincrank/gateway/session.py
@@ -64,7 +64,9 @@
 
     Attributes:
         database: Database that the caller named at startup.
-        user: User name that the caller gave.
+        credential: Digest of the key that the caller gave.
+        organisation: Name of the organisation that the caller belongs to;
+            empty for none.
         status: Transaction state last reported to the caller.
         values: Session values set by the caller.
         prepared: Prepared statements by name.
@@ -73,18 +75,25 @@
     """
 
     __slots__ = (
+        'credential',
         'database',
         'last_commit',
+        'organisation',
         'prepared',
         'status',
         'transaction',
-        'user',
         'values',
     )
 
-    def __init__(self, database: str, user: str) -> None:
+    def __init__(
+        self,
+        database: str,
+        credential: bytes = b'',
+        organisation: str = '',
+    ) -> None:
         self.database = database
-        self.user = user
+        self.credential = credential
+        self.organisation = organisation
         self.status = TransactionStatus.IDLE
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[bytes, Prepared] = {}
--- a/catkincrank/gateway/sessionserver.py
+++ b/catkincrank/gateway/sessionserver.py
@@ -145,7 +145,7 @@
         with anyio.move_on_after(_STARTUP_TIMEOUT_S):
             startup = await caller.codec.read_startup()
             if await self._admit(caller, startup):
-                caller.session = Session(startup.database, startup.user)
+                caller.session = Session(startup.database, startup.credential)
         if caller.session is None:
             return
         await caller.codec.send_ready()
--- a/catkincrank/gateway/transactions.py
+++ b/catkincrank/gateway/transactions.py
@@ -189,6 +189,7 @@
             transaction.arrived_at,
             deadline,
             not transaction.is_read_only,
+            session.organisation,
         )
         while True:
             choice, borrowed = await self._placement.place(request)
--- a/catkincrank/platform/callers.py
+++ b/catkincrank/platform/callers.py
@@ -11,6 +11,7 @@
     Terminate,
     caller_codecs,
 )
+from catkincrank.gateway.organisations.keys import digest_key
 from catkincrank.gateway.position import Position
 from catkincrank.gateway.reply import Failure, Refusal, Reply, refuse
 from catkincrank.gateway.statement import Kind, Prepared, Statement
@@ -55,7 +56,7 @@
             return None
         return Startup(
             fields[0].decode('utf-8', 'replace'),
-            b' '.join(fields[1:]).decode('utf-8', 'replace'),
+            digest_key(b' '.join(fields[1:])),
         )
 
     async def read_request(self) -> Statement | Terminate:
--- a/catkincrank/platform/codes.py
+++ b/catkincrank/platform/codes.py
@@ -24,6 +24,7 @@
     Failure.UNKNOWN_NAME: b'UNKNOWN',
     Failure.MALFORMED: b'MALFORMED',
     Failure.UNKNOWN_DATABASE: b'NODATABASE',
+    Failure.DENIED: b'DENIED',
 }
 
 FAILURES = {  # noqa: WPS407
--- a/catkincrank/platform/documents.py
+++ b/catkincrank/platform/documents.py
@@ -1,11 +1,19 @@
 """Decodes the operator's configuration and the endpoints' registrations."""
 
 import re
+from collections.abc import Iterable
 from typing import Any
 
 import msgspec
 
-from catkincrank.gateway.catalog import Catalog, Consistency, Route, Service
+from catkincrank.gateway.catalog import (
+    Catalog,
+    Consistency,
+    Organisation,
+    Route,
+    Service,
+)
+from catkincrank.gateway.organisations.keys import digest_key
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.logs import log_event
 
@@ -45,6 +53,15 @@
     target_latency_ms: float = 0
     priority: int = 0
     max_staleness_ms: float = 0
+    public: bool = False
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str]
+    rate_per_s: float
+    burst: float
+    priority: int = 0
 
 
 class _Service(msgspec.Struct):
@@ -62,6 +79,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] | None = None
 
 
 class _Registration(msgspec.Struct):
@@ -101,6 +119,8 @@
         routes,
         services,
         found.limits.tx_idle_ms / _MS_PER_S,
+        _convert_organisations(found.tenants),
+        _digest_keys(found.tenants or ()),
     )
 
 
@@ -154,4 +174,34 @@
         route.timeout_ms / _MS_PER_S,
         route.target_latency_ms / _MS_PER_S,
         route.priority,
+        route.public,
     )
+
+
+def _convert_organisations(
+    tenants: list[_Tenant] | None,
+) -> dict[str, Organisation] | None:
+    if tenants is None:
+        return None
+    organisations: dict[str, Organisation] = {}
+    for one in tenants:
+        if not _IDENTIFIER.fullmatch(one.name) or one.name in organisations:
+            raise ValueError('unusable name of an organisation')
+        if one.rate_per_s < 0 or one.burst < 0:
+            raise ValueError('negative limit of {0}'.format(one.name))
+        organisations[one.name] = Organisation(
+            one.name, one.rate_per_s, one.burst, one.priority
+        )
+    return organisations
+
+
+def _digest_keys(tenants: Iterable[_Tenant]) -> dict[bytes, str]:
+    keys: dict[bytes, str] = {}
+    for one in tenants:
+        for key in one.api_keys:
+            digest = digest_key(key.encode('utf-8'))
+            if keys.setdefault(digest, one.name) != one.name:
+                raise ValueError(
+                    'a key of {0} belongs to {1}'.format(one.name, keys[digest])
+                )
+    return keys
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,8 +12,9 @@
     OptionError,
     StoreUnavailableError,
 )
-from catkincrank.gateway.catalog import Consistency
+from catkincrank.gateway.catalog import Consistency, Organisation
 from catkincrank.gateway.link import EndpointState
+from catkincrank.gateway.organisations.keys import digest_key
 from catkincrank.gateway.position import Position
 from catkincrank.gateway.promoter import PromotionError
 from catkincrank.gateway.reply import Failure
@@ -41,6 +42,7 @@
     'callers',
     'catalog',
     'daemon',
+    'keys',
     'link',
     'options',
     'position',
@@ -155,6 +157,54 @@
     assert decode_entry('i-1', body) is None
 
 
+ORGANISATION = {'name': 'o', 'api_keys': ['k1'], 'rate_per_s': 5, 'burst': 5}
+
+
+def _decode_with_organisations(*organisations):
+    return decode_catalog(
+        msgspec.json.encode(
+            {
+                'version': 1,
+                'routes': [],
+                'services': [],
+                'tenants': organisations,
+            }
+        )
+    )
+
+
+def test_keys_are_decoded_as_digests_only():
+    catalog = _decode_with_organisations(ORGANISATION)
+    assert catalog.organisations == {'o': Organisation('o', 5, 5)}
+    assert catalog.keys == {digest_key(b'k1'): 'o'}
+    assert 'k1' not in repr(catalog)
+
+
+def test_configuration_without_organisations_needs_no_keys():
+    body = b'{"version": 1, "routes": [], "services": []}'
+    assert decode_catalog(body).organisations is None
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {'name': ''},
+        {'name': 'o 1'},
+        {'name': 'other'},
+        {'name': 'other', 'api_keys': ['k2'], 'rate_per_s': -1},
+        {'name': 'other', 'api_keys': ['k2'], 'burst': -1},
+        {'name': 'other', 'api_keys': ['k2'], 'burst': 'many'},
+        {'name': 'other', 'api_keys': [2]},
+        {},
+    ],
+    ids=str,
+)
+def test_invalid_organisation_is_refused_without_naming_a_key(changes):
+    with pytest.raises(ValueError) as caught:
+        _decode_with_organisations(ORGANISATION, {**ORGANISATION, **changes})
+    assert 'k1' not in str(caught.value)
+
+
 @pytest.mark.parametrize('name', ['', 'i 1', 'i-\xe9', 'i\r\n1', 'i\x001'])
 def test_registration_with_invalid_identifier_is_skipped(name):
     assert decode_entry(name, msgspec.json.encode(ENTRY)) is None
