Use carriers where each process would have a single connection

Change: an endpoint whose even division leaves fewer than two connections is reached through carriers.

--- a/catkincrank/gateway/carriers.py
+++ b/catkincrank/gateway/carriers.py
@@ -1,8 +1,9 @@
 """Chooses the carriers of endpoints that accept few connections.
 
 Where processes outnumber the connections that an endpoint accepts, or the
-statements that it can run and queue, only some processes (the carriers) connect
-to it, with persistent connections; the others send them their statements.
+statements that it can run and queue, or would have a single connection each,
+only some processes (the carriers) connect to it, with persistent connections;
+the others send them their statements.
 Sharing the connections in turn would open a new one for most statements. One
 connection for each process would let all of them send at once to an endpoint
 that refuses what it cannot queue.
@@ -24,6 +25,9 @@
 _RESERVED_CONNECTIONS = 2
 # Statements that an endpoint queues per slot before it refuses more.
 _QUEUED_PER_SLOT = 8
+# A process with one connection serves nobody while a transaction holds it, and
+# the connections of processes with few callers are idle meanwhile.
+_MIN_DIRECT_CONNECTIONS = 2
 # A carrier needs several links to share them fairly between callers.
 _LINKS_PER_CARRIER = 6
 # A carrier that is unreachable or leaving is retried after this time, for which
@@ -153,7 +157,13 @@
         return any(one.name == self._own_member.name for one in carriers)
 
     def _is_scarce(self, entry: EndpointEntry) -> bool:
-        return self._count_in_flight(entry) < len(self._members)
+        """Return whether only carriers connect to an endpoint."""
+        members = len(self._members)
+        if self._count_in_flight(entry) < members:
+            return True
+        connections = self._connections.get(entry.service, 0)
+        share = share_connections(connections, members)
+        return share < min(members, _MIN_DIRECT_CONNECTIONS)
 
     def _count_in_flight(self, entry: EndpointEntry) -> int:
         """Return how many statements an endpoint can run and queue."""
--- a/tests/test_gateway_carriers.py
+++ b/tests/test_gateway_carriers.py
@@ -44,7 +44,16 @@
 
 @pytest.mark.parametrize(
     ('members', 'connections', 'is_scarce'),
-    [(8, 23, False), (7, 30, False), (63, 32, True), (74, 107, True)],
+    [
+        (8, 23, False),
+        (7, 30, False),
+        (63, 32, True),
+        (74, 107, True),
+        # One connection for each process, and two.
+        (16, 33, True),
+        (16, 34, False),
+        (1, 3, False),
+    ],
 )
 def test_only_scarce_connections_use_carriers(members, connections, is_scarce):
     fleet = {
