Open links with an organisation's name and keep them apart

Cause: endpoints must see each request on a connection opened with the name of the caller's organisation; pools and carriers knew one login only.

Change: the login of a pooled link is the organisation. A pool serves its queue in fair order of organisation and route (poolround), evicts the least recently used idle link when it is full, and opens the next one when the close is reported. CarryRequest names the organisation in a union with the prepared statement, and the carrier checks that its link belongs to it. All processes send an organisation's statements to the same carrier of an endpoint, and prefer the replica that all of them choose alike.

--- a/catkincrank/gateway/carriermessages.py
+++ b/catkincrank/gateway/carriermessages.py
@@ -13,6 +13,7 @@
 from catkincrank.gateway.statement import Prepared
 
 __all__ = (
+    'CarriedOrganisation',
     'CarriedValue',
     'CarryReply',
     'CarryRequest',
@@ -60,6 +61,20 @@
     content: bytes
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class CarriedOrganisation:
+    """The organisation of a statement, with its prepared statement.
+
+    Attributes:
+        name: Name of the organisation; not empty.
+        prepared: Prepared statement to execute, if any.
+    """
+
+    name: str
+    prepared: Prepared | None = None
+
+
 @register_message('carryRequest')
 @final
 @dataclass(frozen=True, slots=True)
@@ -78,9 +93,12 @@
             statement on the connection.
         after: Position that the log must have reached.
         values: All session values that must be set; any others are reset.
-        prepared: Prepared statement to execute, if any.
+        prepared: Prepared statement to execute, if any; ``None`` in a request
+            of an organisation.
         route: Name of the route; links are shared fairly between routes.
         priority: Queue priority; 0 is served first.
+        organised: Organisation whose link must run the statement; ``None`` for
+            a link of the carrier itself.
     """
 
     action: str
@@ -93,6 +111,19 @@
     prepared: Prepared | None
     route: str
     priority: int
+    organised: CarriedOrganisation | None = None
+
+    @property
+    def organisation(self) -> str:
+        """Name of the organisation; empty for none."""
+        return '' if self.organised is None else self.organised.name
+
+    @property
+    def wanted(self) -> Prepared | None:
+        """Prepared statement to execute, if any."""
+        if self.organised is None:
+            return self.prepared
+        return self.organised.prepared
 
 
 @register_message('carryReply')
--- a/catkincrank/gateway/carriers.py
+++ b/catkincrank/gateway/carriers.py
@@ -8,7 +8,7 @@
 that refuses what it cannot queue.
 """
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import final
 
@@ -44,11 +44,14 @@
         max_open: Maximum number, including those idle in transactions.
         is_contended: Whether other processes need the connections, so that
             none is kept idle.
+        max_held: Maximum number including idle ones of organisations, if that
+            is more than ``limit``.
     """
 
     limit: int
     max_open: int
     is_contended: bool = False
+    max_held: int = 0
 
 
 @final
@@ -98,6 +101,11 @@
         self._members = dict(members)
         self._carriers = {}
 
+    @property
+    def own_name(self) -> str:
+        """Name of this process."""
+        return self._own_member.name
+
     def share(self, entry: EndpointEntry) -> ConnectionShare:
         """Return the connections that this process may hold."""
         connections = self._connections.get(entry.service, 0)
@@ -110,7 +118,13 @@
             return ConnectionShare(1, 1, is_contended=True)
         max_open = share_connections(connections, len(carriers))
         in_flight = -(-self._count_in_flight(entry) // len(carriers))
-        return ConnectionShare(min(max_open, in_flight), max_open)
+        limit = min(max_open, in_flight)
+        # A carrier that takes the place of a failed one finds room at once,
+        # although the endpoint counts the failed one's connections for 3 s.
+        max_held = share_connections(connections - limit, len(carriers))
+        return ConnectionShare(
+            limit, max_open, max_held=max(limit, min(max_open, max_held))
+        )
 
     def find(self, entry: EndpointEntry, now: float) -> MemberRecord | None:
         """Return the carrier to use; ``None`` to connect directly.
@@ -122,16 +136,56 @@
         carriers = self._list_carriers(entry)
         if self._is_own(carriers):
             return None
-        usable = {
-            member.name: member
-            for member in carriers
-            if self._avoided_until.get(member.name, 0) <= now
-        }
+        usable = self._list_usable(entry, now)
         if not usable:
             return None
         key = self._own_member.name + entry.endpoint_id
         return usable[rank_names(key, usable)[0]]
 
+    def find_shared(
+        self,
+        entry: EndpointEntry,
+        organisation: str,
+        now: float,
+        is_busy: Callable[[MemberRecord], bool],
+    ) -> MemberRecord | None:
+        """Return the carrier to use for an organisation.
+
+        All processes choose the same one, so that its links are reused, and the
+        same second one for what would queue at the first. ``None`` is to
+        connect directly.
+
+        Args:
+            entry: The endpoint.
+            organisation: Name of the organisation.
+            now: Current time in seconds.
+            is_busy: Whether this process has many statements at a carrier.
+        """
+        if not self._is_scarce(entry):
+            return None
+        usable = self._list_usable(entry, now)
+        key = '{0} {1}'.format(organisation, entry.endpoint_id)
+        ranked = [usable[name] for name in rank_names(key, usable)]
+        if len(ranked) > 1 and not self._is_own(ranked[:1]):
+            ranked = ranked[int(is_busy(ranked[0])) :]
+        if not ranked or self._is_own(ranked[:1]):
+            return None
+        return ranked[0]
+
+    def resolve(
+        self, entry: EndpointEntry, name: str, now: float
+    ) -> MemberRecord | None:
+        """Return the carrier that a link is to be opened to.
+
+        Args:
+            entry: The endpoint.
+            name: Name of the carrier, or of this process for any carrier.
+            now: Current time in seconds.
+        """
+        if name == self._own_member.name:
+            return self.find(entry, now)
+        return self._list_usable(entry, now).get(name)
+
     def avoid(self, carrier: MemberRecord, now: float, cause: str) -> None:
         """Stop using a carrier temporarily."""
         if self._avoided_until.get(carrier.name, 0) <= now:
@@ -148,6 +202,16 @@
         if now > replied_at + _MAX_SILENCE_S:
             self.avoid(carrier, now, 'no answer')
 
+    def _list_usable(
+        self, entry: EndpointEntry, now: float
+    ) -> dict[str, MemberRecord]:
+        """Return an endpoint's carriers, by name, that are not avoided."""
+        return {
+            member.name: member
+            for member in self._list_carriers(entry)
+            if self._avoided_until.get(member.name, 0) <= now
+        }
+
     def _is_own(self, carriers: list[MemberRecord]) -> bool:
         """Return whether this process is one of the carriers."""
         return any(one.name == self._own_member.name for one in carriers)
--- a/catkincrank/gateway/carrierservice.py
+++ b/catkincrank/gateway/carrierservice.py
@@ -105,6 +105,7 @@
             request.route,
             request.priority,
             anyio.current_time() + request.limit_s,
+            request.organisation,
         )
         return await self._pools.borrow(entry, link_request)
 
@@ -177,6 +178,7 @@
             self._borrowed = await self._carrier_service.borrow(
                 self._entry, request
             )
+        _require_organisation(self._borrowed, request)
         self._borrowed.unpark()
         return self._borrowed
 
@@ -190,9 +192,23 @@
         self._carrier_service.active_sessions.discard(self)
 
 
+def _require_organisation(
+    borrowed: BorrowedLink, request: CarryRequest
+) -> None:
+    """Check that a statement runs on a link of its organisation.
+
+    Raises:
+        EndpointError: It does not, for example because a later statement of a
+            transaction names another organisation; nothing ran.
+    """
+    is_named = request.organised is None or request.organisation
+    if borrowed.login != request.organisation or not is_named:
+        raise EndpointError('link of another organisation', was_sent=False)
+
+
 async def _apply_session(link: EndpointLink, request: CarryRequest) -> None:
     values = {one.name: one.content for one in request.values}
-    if not await link.apply_session(values, request.prepared):
+    if not await link.apply_session(values, request.wanted):
         raise EndpointError(
             'endpoint refused the session state', was_sent=False
         )
@@ -222,7 +238,7 @@
         b'',
         operand=request.text,
     )
-    alias = link.prepared.get(request.prepared, b'')
+    alias = link.prepared.get(request.wanted, b'')
     return await link.run(statement, request.after, alias)
 
 
--- a/catkincrank/gateway/daemon.py
+++ b/catkincrank/gateway/daemon.py
@@ -63,6 +63,7 @@
             self.tables.fleet_state.own_member,
             options.regions,
             tasks,
+            self.metrics,
         )
         self.carrier_service = CarrierService(
             self.groups, self.link_provider.direct_pools, self.metrics
--- a/catkincrank/gateway/link.py
+++ b/catkincrank/gateway/link.py
@@ -190,11 +190,13 @@
     """Opens links to endpoints of one kind."""
 
     @abstractmethod
-    async def connect(
-        self, entry: EndpointEntry, application: str
-    ) -> EndpointLink:
+    async def connect(self, entry: EndpointEntry, name: str) -> EndpointLink:
         """Open a link after verifying that it leads to ``entry``.
 
+        Args:
+            entry: The endpoint.
+            name: Organisation, or process, whose statements it will run.
+
         Raises:
             EndpointError: The endpoint could not be reached or refused.
         """
--- a/catkincrank/gateway/linkpools.py
+++ b/catkincrank/gateway/linkpools.py
@@ -16,8 +16,14 @@
 from catkincrank.gateway.link import EndpointLink, LinkDriver
 from catkincrank.gateway.parkedlinks import ParkedLinks
 from catkincrank.gateway.roster import EndpointEntry
-from catkincrank.pool import EndpointPool, PoolOptions, PoolState
+from catkincrank.pool import (
+    EndpointPool,
+    PoolOptions,
+    PoolState,
+    ignore_event,
+)
 from catkincrank.poolrunner import PoolRunner
+from catkincrank.poolsupply import CountEvent
 from catkincrank.retry import OPENING_BACKOFF
 
 __all__ = ('BorrowedLink', 'LinkRequest', 'LinkPools')
@@ -31,6 +37,10 @@
 _IDLE_TICK_INTERVAL_S = 0.5
 # No route's time limit is long enough to serve a longer queue.
 _QUEUE_LENGTH = 256
+# Links of organisations are kept longer than those of the process itself: a
+# small organisation needs one every few seconds, and opening it occupies a slot
+# of the endpoint for 12 ms.
+_ORGANISATION_IDLE_S = 30.0
 # Unused links beyond the first are closed early, so that other VMs can connect.
 _OPTIONS = PoolOptions(
     queue_length=_QUEUE_LENGTH,
@@ -41,6 +51,7 @@
     max_opening=2,
     linger_s=0.5,
     backoff=OPENING_BACKOFF,
+    login_idle_s=_ORGANISATION_IDLE_S,
 )
 # Where an endpoint accepts fewer connections than there are VMs, unused links
 # are closed almost at once; a waiting VM opens its own, which takes 12 ms.
@@ -49,8 +60,11 @@
     _OPTIONS,
     idle_s=_SCARCE_IDLE_S,
     kept_idle=0,
+    login_idle_s=0,
 )
 _MAX_WEIGHT = 8
+# Organisations below this priority have the same weight.
+_LOWEST_PRIORITY = 6
 _FindShare = Callable[[EndpointEntry], ConnectionShare]
 
 
@@ -61,7 +75,8 @@
 
     Attributes:
         route: Name of the route.
-        priority: Queue priority; 0 is served first.
+        priority: Queue priority, the sum of that of the route and that of the
+            organisation; 0 is served first.
         deadline: When the statement leaves the queue.
         organisation: Organisation that the link must belong to; empty for a
             link of the process itself.
@@ -72,6 +87,20 @@
     deadline: float
     organisation: str = ''
 
+    @property
+    def team(self) -> str:
+        """Share of the pool that it counts towards: organisation and route."""
+        if self.organisation:
+            return '{0} {1}'.format(self.organisation, self.route)
+        return self.route
+
+    @property
+    def weight(self) -> float:
+        """Weight of the team."""
+        if self.organisation:
+            return _MAX_WEIGHT / 2 ** min(self.priority, _LOWEST_PRIORITY)
+        return max(1, _MAX_WEIGHT >> self.priority)
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +130,8 @@
         entry: Endpoint of the link.
         is_held: Whether it was neither returned nor discarded.
         link: The link.
+        login: Name that the link was opened with: an organisation, or for a
+            link through a carrier the carrier; empty for the default.
     """
 
     __slots__ = (
@@ -111,6 +142,7 @@
         'entry',
         'is_held',
         'link',
+        'login',
     )
 
     def __init__(
@@ -125,6 +157,7 @@
         self._runner = pool.runner
         self._connection_id = connection_id
         self.link: EndpointLink = pool.runner.connection(connection_id)
+        self.login = pool.runner.pool.find_login(connection_id)
         self.is_held = True
 
     def park(self) -> None:
@@ -163,10 +196,12 @@
         driver: Opens links.
         application: Application name given to the endpoints.
         tasks: Task group that opens, probes and closes links.
+        count_event: Counts links ``opened``, ``reused`` and ``evicted``.
     """
 
     __slots__ = (
         '_application',
+        '_count_event',
         '_driver',
         '_find_share',
         '_has_waiters',
@@ -181,7 +216,9 @@
         driver: LinkDriver,
         application: str,
         tasks: TaskGroup,
+        count_event: CountEvent = ignore_event,
     ) -> None:
+        self._count_event = count_event
         self._driver = driver
         self._application = application
         self._tasks = tasks
@@ -221,17 +258,26 @@
         self,
         entry: EndpointEntry,
         link_request: LinkRequest,
+        login: str | None = None,
     ) -> BorrowedLink:
         """Return a link once one is free.
 
+        Args:
+            entry: The endpoint.
+            link_request: How the statement queues.
+            login: Name that the link must have been opened with, if that is
+                not the organisation.
+
         Raises:
             RequestError: The queue is full.
             EndpointError: The endpoint cannot be reached.
         """
         pool = self._find_pool(entry)
+        if login is None:
+            login = link_request.organisation
         while True:
             ticket = pool.runner.enqueue(
-                self._make_queue_entry(entry, link_request)
+                self._make_queue_entry(link_request, login)
             )
             if not ticket.is_decided:
                 self._has_waiters.set()
@@ -248,18 +294,30 @@
             return 0
         return pool.runner.pool.in_use + pool.runner.pool.waiting
 
+    def count_leased(self, entry: EndpointEntry, login: str) -> int:
+        """Return how many links of ``login`` to an endpoint are in use."""
+        pool = self._pools.get(make_key(entry))
+        return pool.runner.pool.count_leased(login) if pool else 0
+
     def list_pools(self) -> list[PoolState]:
         """Return the states of all pools, for the state dump."""
         return [one.runner.pool.describe() for one in self._pools.values()]
 
-    async def connect(self, entry: EndpointEntry) -> EndpointLink:
+    async def connect(
+        self, entry: EndpointEntry, login: str = ''
+    ) -> EndpointLink:
         """Open a link outside the pools.
 
+        Args:
+            entry: The endpoint.
+            login: Name to open it with; empty for the process's own.
+
         Raises:
             EndpointError: The endpoint cannot be reached.
         """
         with anyio.move_on_after(_CONNECT_TIMEOUT_S):
-            return await self._driver.connect(entry, self._application)
+            name = login or self._application
+            return await self._driver.connect(entry, name)
         raise EndpointError('no answer', was_sent=False)
 
     async def run(self) -> None:
@@ -296,16 +354,14 @@
             pool.runner.tick()
 
     def _make_queue_entry(
-        self,
-        entry: EndpointEntry,
-        link_request: LinkRequest,
+        self, link_request: LinkRequest, login: str
     ) -> QueueEntry:
         return QueueEntry(
             next(self._ticket_ids),
-            link_request.route,
+            link_request.team,
             link_request.deadline,
-            max(1, _MAX_WEIGHT >> link_request.priority),
-            entry.service,
+            link_request.weight,
+            login,
             anyio.current_time(),
         )
 
@@ -319,8 +375,9 @@
                 share.limit,
                 _select_options(share),
                 self._source,
+                self._count_event,
             )
-            connect = partial(self._open, entry)
+            connect = partial(self.connect, entry)
             pool = _Pool(
                 PoolRunner(endpoint_pool, connect, self._tasks),
                 ParkedLinks(share),
@@ -328,9 +385,6 @@
             self._pools[key] = pool
         return pool
 
-    async def _open(self, entry: EndpointEntry, _login: str) -> EndpointLink:
-        return await self.connect(entry)
-
 
 EndpointKey = tuple[str, str, str, int, int]
 
@@ -352,4 +406,5 @@
 
 
 def _select_options(share: ConnectionShare) -> PoolOptions:
-    return _SCARCE_OPTIONS if share.is_contended else _OPTIONS
+    options = _SCARCE_OPTIONS if share.is_contended else _OPTIONS
+    return dataclasses.replace(options, max_held=share.max_held)
--- a/catkincrank/gateway/linkprovider.py
+++ b/catkincrank/gateway/linkprovider.py
@@ -11,9 +11,11 @@
 from catkincrank.gateway.carriers import Carriers, ConnectionShare
 from catkincrank.gateway.fleetrecords import MemberRecord
 from catkincrank.gateway.link import EndpointState, LinkDriver
+from catkincrank.gateway.linkcounter import LinkCounter
 from catkincrank.gateway.linkpools import BorrowedLink, LinkPools, LinkRequest
 from catkincrank.gateway.remotelink import RemoteDriver
 from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.metrics import Metrics
 from catkincrank.pool import PoolState
 from catkincrank.verdict import RequestError
 
@@ -23,6 +25,12 @@
 # statements queue at the carrier, which serves about this many at once for all
 # processes.
 _MAX_CARRIER_LINKS = 8
+# Statements of this process at one carrier of an endpoint beyond which an
+# organisation's statements go to its second carrier.
+_BUSY_LINKS = 4
+# Most links through carriers to one endpoint, including idle ones: statements
+# of organisations go to all of its carriers.
+_MAX_HELD_CARRIER_LINKS = 24
 
 
 @final
@@ -34,6 +42,7 @@
         own_member: This process's row in the table of the fleet.
         regions: Regions by availability zone.
         tasks: Task group that opens, probes and closes links.
+        metrics: Metrics of the process.
 
     Attributes:
         direct_pools: Pools of direct links from this process to endpoints.
@@ -47,9 +56,13 @@
         own_member: MemberRecord,
         regions: Mapping[str, str],
         tasks: TaskGroup,
+        metrics: Metrics | None = None,
     ) -> None:
         self._carriers = Carriers(own_member, regions)
-        self.direct_pools = LinkPools(driver, own_member.name, tasks)
+        counter = LinkCounter(metrics or Metrics())
+        self.direct_pools = LinkPools(
+            driver, own_member.name, tasks, counter.count
+        )
         self._carrier_pools = LinkPools(
             RemoteDriver(self._carriers), own_member.name, tasks
         )
@@ -88,10 +101,13 @@
             RequestError: The queue is full.
             EndpointError: The endpoint or carrier cannot be reached.
         """
-        carrier = self._carriers.find(entry, anyio.current_time())
+        carrier = self._find_carrier(entry, link_request.organisation)
         if carrier is None:
             return await self.direct_pools.borrow(entry, link_request)
-        borrowed = await self._carrier_pools.borrow(entry, link_request)
+        # Links to carriers belong to no organisation; only those of
+        # organisations have to lead to one carrier.
+        login = carrier.name if link_request.organisation else ''
+        borrowed = await self._carrier_pools.borrow(entry, link_request, login)
         borrowed.link.apply_link_request(link_request)
         return borrowed
 
@@ -135,6 +151,20 @@
             tasks.start_soon(self.direct_pools.run)
             tasks.start_soon(self._carrier_pools.run)
 
+    def _find_carrier(
+        self, entry: EndpointEntry, organisation: str
+    ) -> MemberRecord | None:
+        now = anyio.current_time()
+        if not organisation:
+            return self._carriers.find(entry, now)
+        return self._carriers.find_shared(
+            entry, organisation, now, partial(self._is_busy, entry)
+        )
+
+    def _is_busy(self, entry: EndpointEntry, carrier: MemberRecord) -> bool:
+        leased = self._carrier_pools.count_leased(entry, carrier.name)
+        return leased >= _BUSY_LINKS
+
     def _share(self, entry: EndpointEntry, *, is_new: bool) -> ConnectionShare:
         share = self._carriers.share(entry)
         return ConnectionShare(1, 1, share.is_contended) if is_new else share
@@ -154,4 +184,8 @@
 
 
 def _share_remote(_entry: EndpointEntry) -> ConnectionShare:
-    return ConnectionShare(_MAX_CARRIER_LINKS, _MAX_CARRIER_LINKS)
+    return ConnectionShare(
+        _MAX_CARRIER_LINKS,
+        _MAX_CARRIER_LINKS,
+        max_held=_MAX_HELD_CARRIER_LINKS,
+    )
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -1,6 +1,7 @@
 """Chooses an endpoint for a statement and borrows a link to it."""
 
 import random
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import final
 
@@ -17,6 +18,7 @@
 )
 from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.link import LinkRefusedError
+from catkincrank.gateway.linkaffinity import OPENING_COST_S, LinkAffinity
 from catkincrank.gateway.linkpools import BorrowedLink, LinkRequest
 from catkincrank.gateway.linkprovider import LinkProvider
 from catkincrank.gateway.position import Position
@@ -48,6 +50,9 @@
 # connection, in case the first one was dead: an attempt gets half of the
 # remaining time.
 _PRIMARY_ATTEMPT_SHARE = 0.5
+# Priorities of organisations above this one are not told apart. The sum with
+# that of the route then fits into a message to a carrier.
+_MAX_PRIORITY = 16
 # Interval at which a statement without an endpoint checks again.
 _POLL_INTERVAL_S = 0.05
 # Failures after which the statement may run at another endpoint or later.
@@ -74,6 +79,7 @@
         deadline: When the statement times out.
         is_write: Whether it has to run at the primary.
         organisation: Organisation of the caller; empty for none.
+        priority: Queue priority; that of the route and the organisation.
         excluded: Endpoints that have refused it recently.
         refused: Failure of the last refusal.
         refusal_count: Number of refusals so far.
@@ -85,6 +91,7 @@
     deadline: float
     is_write: bool
     organisation: str = ''
+    priority: int = 0
     excluded: set[str] = field(default_factory=set)
     refused: Failure = Failure.OVERLOADED
     refusal_count: int = 0
@@ -94,7 +101,7 @@
         """The request with which the statement queues for a link."""
         return LinkRequest(
             self.route.name,
-            self.route.priority,
+            self.priority,
             self.deadline,
             self.organisation,
         )
@@ -122,7 +129,13 @@
         latencies: Mean response times of the endpoints.
     """
 
-    __slots__ = ('_groups', '_latencies', '_link_provider', '_random')
+    __slots__ = (
+        '_affinity',
+        '_groups',
+        '_latencies',
+        '_link_provider',
+        '_random',
+    )
 
     def __init__(
         self,
@@ -130,6 +143,7 @@
         link_provider: LinkProvider,
         latencies: Latencies,
     ) -> None:
+        self._affinity = LinkAffinity()
         self._groups = groups
         self._link_provider = link_provider
         self._latencies = latencies
@@ -143,6 +157,7 @@
         Raises:
             StatementFailed: No endpoint can run it in time.
         """
+        request.priority = self._find_priority(request)
         while True:
             choice = await self._await_choice(request)
             try:
@@ -159,6 +174,11 @@
                     Failure.OVERLOADED,
                     '{0}: {1}'.format(choice.entry.endpoint_id, error),
                 ) from None
+            self._affinity.record_use(
+                request.organisation,
+                choice.entry.endpoint_id,
+                anyio.current_time(),
+            )
             return choice, borrowed
 
     def attempt_deadline(
@@ -298,11 +318,13 @@
             request.last_commit,
             request.arrived_at,
         )
+        entries = self._groups.list_usable(service, now)
+        opening_cost = self._make_opening_cost(request, entries, now)
         entry = choose_reader(
-            self._groups.list_usable(service, now),
+            entries,
             required,
             request.excluded,
-            lambda candidate: self._cost(candidate, now),
+            lambda one: self._cost(one, now) + opening_cost(one),
         )
         if entry is None:
             return self._choose_primary(request, now)
@@ -328,6 +350,34 @@
         required = self._groups.evidence(service).find_primary_position()
         return Choice(entry, required, grant.term)
 
+    def _find_priority(self, request: PlacementRequest) -> int:
+        """Return the priority of the route plus that of the organisation."""
+        catalog = self._groups.catalog
+        organisations = catalog and catalog.organisations
+        if not request.organisation or not organisations:
+            return request.route.priority
+        organisation = organisations.get(request.organisation)
+        added = 0 if organisation is None else organisation.priority
+        return request.route.priority + min(max(added, 0), _MAX_PRIORITY)
+
+    def _make_opening_cost(
+        self,
+        request: PlacementRequest,
+        entries: Iterable[EndpointEntry],
+        now: float,
+    ) -> Callable[[EndpointEntry], float]:
+        """Return a function for the cost of a link that has to be opened."""
+        if not request.organisation:
+            return lambda _: 0
+        grant = self._groups.evidence(request.route.service).grant
+        likely = self._affinity.list_likely(
+            request.organisation,
+            entries,
+            '' if grant is None else grant.endpoint_id,
+            now,
+        )
+        return lambda one: 0 if one.endpoint_id in likely else OPENING_COST_S
+
     def _cost(self, entry: EndpointEntry, now: float) -> float:
         expected = self._latencies.estimate(entry, now)
         grant = self._groups.evidence(entry.service).grant
--- a/catkincrank/gateway/remotelink.py
+++ b/catkincrank/gateway/remotelink.py
@@ -7,6 +7,7 @@
 from catkincrank.endpoint import TransactionStatus
 from catkincrank.errors import EndpointError, MessageError
 from catkincrank.gateway.carriermessages import (
+    CarriedOrganisation,
     CarriedValue,
     CarryReply,
     CarryRequest,
@@ -95,7 +96,7 @@
         return not self._link.has_ended
 
     def apply_link_request(self, link_request: LinkRequest) -> None:
-        """Set the route and priority of the next statements."""
+        """Set the route, priority and organisation of the next statements."""
         self._link_request = link_request
 
     async def apply_session(
@@ -172,6 +173,10 @@
         request_id: bytes = b'',
         text: bytes = b'',
     ) -> Reply:
+        organisation = self._link_request.organisation
+        organised = None
+        if organisation:
+            organised = CarriedOrganisation(organisation, self._prepared)
         request = CarryRequest(
             kind.value,
             request_id,
@@ -180,9 +185,10 @@
             self._destination,
             after,
             self._values,
-            self._prepared,
+            None if organised else self._prepared,
             self._link_request.route,
             self._link_request.priority,
+            organised,
         )
         answer = await self._exchange(request)
         self._destination = None
@@ -240,13 +246,14 @@
     def __init__(self, carriers: Carriers) -> None:
         self._carriers = carriers
 
-    async def connect(
-        self,
-        entry: EndpointEntry,
-        application: str,
-    ) -> RemoteLink:
-        """Open a link; the carrier verifies that its own leads to ``entry``."""
-        carrier = self._carriers.find(entry, anyio.current_time())
+    async def connect(self, entry: EndpointEntry, name: str) -> RemoteLink:
+        """Open a link; the carrier verifies that its own leads to ``entry``.
+
+        Args:
+            entry: The endpoint.
+            name: Name of the carrier, or of this process for any carrier.
+        """
+        carrier = self._carriers.resolve(entry, name, anyio.current_time())
         if carrier is None:
             raise EndpointError('no carrier available', was_sent=False)
         try:
@@ -254,7 +261,7 @@
                 carrier.host,
                 carrier.port,
                 _DIAL_TIMEOUT_S,
-                application,
+                self._carriers.own_name,
             )
         except LinkClosedError as error:
             now = anyio.current_time()
--- a/catkincrank/platform/endpoints.py
+++ b/catkincrank/platform/endpoints.py
@@ -21,7 +21,7 @@
 from catkincrank.gateway.statement import Kind, Prepared, Statement
 from catkincrank.keepalive import enable_keepalive, has_pending_input
 from catkincrank.platform.codes import FAILURES, parse_position, parse_status
-from catkincrank.platform.lines import LineReader
+from catkincrank.platform.lines import LineReader, is_field
 
 __all__ = ('LineDriver', 'LineLink')
 
@@ -69,15 +69,21 @@
         """Whether the connection is not known to have ended."""
         return not has_pending_input(self._stream)
 
-    async def start(self, service: str, application: str) -> None:
+    async def start(self, service: str, name: str) -> None:
         """Open the session.
 
+        Args:
+            service: Group of the endpoint.
+            name: Organisation or process that it belongs to.
+
         Raises:
-            EndpointError: The endpoint refused.
+            EndpointError: The endpoint refused, or the name cannot be sent.
         """
+        if not is_field(name):
+            raise EndpointError('unusable name', was_sent=False)
         await self._send(
             ' '.join(
-                ('STARTUP', service, application, self._endpoint_id),
+                ('STARTUP', service, name, self._endpoint_id),
             ).encode('ascii')
             + b'\r\n',
         )
@@ -223,7 +229,7 @@
 class LineDriver(LinkDriver):
     """Opens links to endpoints that speak the session protocol."""
 
-    async def connect(self, entry: EndpointEntry, application: str) -> LineLink:
+    async def connect(self, entry: EndpointEntry, name: str) -> LineLink:
         """Open a link and verify that ``entry`` is at its other end."""
         try:
             stream = await anyio.connect_tcp(entry.host, entry.port)
@@ -232,7 +238,7 @@
         enable_keepalive(stream)
         link = LineLink(stream, entry.endpoint_id)
         try:
-            await link.start(entry.service, application)
+            await link.start(entry.service, name)
         except BaseException:
             await anyio.aclose_forcefully(stream)
             raise
--- a/catkincrank/platform/lines.py
+++ b/catkincrank/platform/lines.py
@@ -4,17 +4,24 @@
 end of the line.
 """
 
+import re
 from typing import final
 
 import anyio
 from anyio.abc import ByteStream
 
-__all__ = ('LineReader', 'LineTooLongError')
+__all__ = ('LineReader', 'LineTooLongError', 'is_field')
 
 # The protocol limits a message to 1 MiB.
 _MAX_LINE_BYTES = 1024 * 1024
 _READ_BYTES = 65536
 _LINE_END = b'\r\n'
+_FIELD = re.compile('[!-~]+')
+
+
+def is_field(text: str) -> bool:
+    """Return whether ``text`` can be one field of a line."""
+    return _FIELD.fullmatch(text) is not None
 
 
 @final
--- a/catkincrank/pool.py
+++ b/catkincrank/pool.py
@@ -13,9 +13,14 @@
 from catkincrank.fairqueue import FairQueue, QueueEntry
 from catkincrank.poolactions import Grant, PoolAction, RefusalCause, Refuse
 from catkincrank.poolslots import SlotState
-from catkincrank.poolsupply import ConnectionSupply, PoolOptions, close_slot
+from catkincrank.poolsupply import (
+    ConnectionSupply,
+    CountEvent,
+    PoolOptions,
+    close_slot,
+)
 
-__all__ = ('EndpointPool', 'PoolOptions', 'PoolState')
+__all__ = ('EndpointPool', 'PoolOptions', 'PoolState', 'ignore_event')
 
 _FOREVER = float('inf')
 _LEASE_DURATION_WEIGHT = 0.1
@@ -23,6 +28,10 @@
 _ENDED_STATES = frozenset((SlotState.CLOSING, SlotState.LINGERING))
 
 
+def ignore_event(_event: str) -> None:
+    """Count nothing."""
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class PoolState:
@@ -52,6 +61,8 @@
         limit: Most connections that this process may hold.
         options: Time-outs and limits.
         source: Random numbers for the jitter of connection attempts.
+        count_event: Counts connections that are ``opened``, ``reused``, or
+            ``evicted`` for a request of another login.
     """
 
     __slots__ = (
@@ -68,10 +79,11 @@
         limit: int,
         options: PoolOptions,
         source: random.Random,
+        count_event: CountEvent = ignore_event,
     ) -> None:
         self.endpoint = endpoint
         self.is_leaving = False
-        self._supply = ConnectionSupply(limit, options, source)
+        self._supply = ConnectionSupply(limit, options, source, count_event)
         self._queue = FairQueue(options.queue_length)
         self._lease_duration_s = _INITIAL_LEASE_DURATION_S
 
@@ -100,6 +112,16 @@
         """Number of queued requests."""
         return len(self._queue)
 
+    def find_login(self, connection_id: int) -> str | None:
+        """Return the login of a connection; ``None`` for one that is closed."""
+        slot = self._supply.slots.find(connection_id)
+        return None if slot is None else slot.login
+
+    def count_leased(self, login: str) -> int:
+        """Return how many connections of ``login`` are leased."""
+        leased = self._supply.slots.list_in_state(SlotState.LEASED)
+        return len([slot for slot in leased if slot.login == login])
+
     def describe(self) -> PoolState:
         """Return the state for the state dump."""
         return PoolState(
@@ -140,9 +162,23 @@
         if slot is None:
             return []
         delay_s = self._supply.record_open_failure(slot, now)
-        if self._supply.has_live_slot:
-            return self._supply.serve(self._queue, now)
-        return self._refuse_all(RefusalCause.UNREACHABLE, delay_s)
+        # Idle connections of other logins do not show that the endpoint can
+        # still be reached, so the others' requests are not kept waiting.
+        live = self._supply.list_live_logins()
+        refused = [
+            entry
+            for entry in self._queue.list_entries()
+            if entry.login not in live
+        ]
+        for entry in refused:
+            self._queue.remove(entry.request_id)
+        return [
+            *(
+                _refuse(one, RefusalCause.UNREACHABLE, delay_s)
+                for one in refused
+            ),
+            *self._supply.serve(self._queue, now),
+        ]
 
     def give_back(self, connection_id: int, now: float) -> list[PoolAction]:
         """Return a clean connection to the pool."""
@@ -211,9 +247,8 @@
         Leased connections above it are closed when they are given back.
         """
         self._supply.limit = limit
-        surplus = max(0, self.held - limit)
         return [
-            *self._close_idle(surplus, now),
+            *self._supply.close_surplus(now),
             *self._supply.serve(self._queue, now),
         ]
 
@@ -221,7 +256,7 @@
         """Refuse new requests; leased connections stay until given back."""
         self.is_leaving = True
         return [
-            *self._close_idle(self.held, now),
+            *self._close_idle(now),
             *self._refuse_all(RefusalCause.LEAVING, 0),
         ]
 
@@ -264,7 +299,7 @@
         if entry.deadline <= now:
             return _refuse(entry, RefusalCause.DEADLINE, 0)
         pause_s = self._supply.open_at - now
-        if pause_s > 0 and not self._supply.has_live_slot:
+        if pause_s > 0 and entry.login not in self._supply.list_live_logins():
             return _refuse(entry, RefusalCause.UNREACHABLE, pause_s)
         wait_s = self._estimate_wait(entry)
         if now + wait_s + self._lease_duration_s > entry.deadline:
@@ -292,9 +327,9 @@
         actions = self._supply.make_available(slot, now)
         return [*actions, *self._supply.serve(self._queue, now)]
 
-    def _close_idle(self, count: int, now: float) -> list[PoolAction]:
+    def _close_idle(self, now: float) -> list[PoolAction]:
         idle = self._supply.slots.list_in_state(SlotState.IDLE)
-        return [close_slot(slot, now) for slot in idle[:count]]
+        return [close_slot(slot, now) for slot in idle]
 
     def _refuse_all(
         self, cause: RefusalCause, retry_after_s: float
--- a/catkincrank/poolslots.py
+++ b/catkincrank/poolslots.py
@@ -37,6 +37,7 @@
         since: Time of the last change of state, in seconds.
         answered_at: When the endpoint last answered on it, in seconds.
         used_at: When a request last held it, in seconds.
+        leases: Number of requests that have held it.
         is_suspect: Whether it must answer a probe before its next lease.
         is_lost: Whether it ended without an orderly close.
     """
@@ -46,6 +47,7 @@
         'answered_at',
         'is_lost',
         'is_suspect',
+        'leases',
         'login',
         'since',
         'state',
@@ -59,6 +61,7 @@
         self.since = now
         self.answered_at = now
         self.used_at = now
+        self.leases = 0
         self.is_suspect = False
         self.is_lost = False
 
@@ -67,6 +70,11 @@
         self.state = state
         self.since = now
 
+    def lease(self, now: float) -> None:
+        """Lease the connection to a request."""
+        self.leases += 1
+        self.enter(SlotState.LEASED, now)
+
     def record_answer(self, now: float) -> None:
         """Record that the endpoint answered on the connection."""
         self.answered_at = now
--- a/catkincrank/poolsupply.py
+++ b/catkincrank/poolsupply.py
@@ -1,15 +1,19 @@
 """Opens, leases, probes and closes the connections of a pool."""
 
 import random
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import final
 
 from catkincrank.fairqueue import FairQueue
 from catkincrank.poolactions import Close, Grant, Open, PoolAction, Probe
+from catkincrank.poolround import RoomLimits, ServingRound
 from catkincrank.poolslots import Slot, Slots, SlotState
 from catkincrank.retry import Backoff
 
-__all__ = ('PoolOptions', 'ConnectionSupply', 'close_slot')
+__all__ = ('ConnectionSupply', 'CountEvent', 'PoolOptions', 'close_slot')
+
+CountEvent = Callable[[str], None]
 
 _LIVE_STATES = (
     SlotState.OPENING,
@@ -36,6 +40,10 @@
         max_opening: Most connections that are being opened at a time.
         linger_s: Time for which a lost connection occupies its slot.
         backoff: Delays after failures to open a connection.
+        max_held: Most connections held once some have a login, including idle
+            ones beyond the limit; the limit applies if it is higher.
+        login_idle_s: As ``idle_s``, for connections with a login; ``idle_s``
+            applies if it is longer.
     """
 
     queue_length: int = 256
@@ -46,6 +54,8 @@
     max_opening: int = 2
     linger_s: float = 0.5
     backoff: Backoff = Backoff(_OPEN_BASE_S, _OPEN_CAP_S)
+    max_held: int = 0
+    login_idle_s: float = 0
 
 
 @final
@@ -53,12 +63,16 @@
     """Connections of one pool and the attempts to open more.
 
     Args:
-        limit: Most slots that may be occupied.
+        limit: Most connections leased or being opened, and most slots without
+            logins.
         options: Time-outs and limits.
         source: Random numbers for the jitter of connection attempts.
+        count_event: Counts connections that are ``opened``, ``reused``, or
+            ``evicted`` for a request of another login.
 
     Attributes:
-        limit: Most slots that may be occupied.
+        limit: Most connections leased or being opened, and most slots without
+            logins.
         options: Time-outs and limits.
         slots: The occupied slots.
         failures: Consecutive failures to open a connection.
@@ -66,6 +80,7 @@
     """
 
     __slots__ = (
+        '_count_event',
         '_source',
         'failures',
         'limit',
@@ -79,6 +94,7 @@
         limit: int,
         options: PoolOptions,
         source: random.Random,
+        count_event: CountEvent,
     ) -> None:
         self.limit = limit
         self.slots = Slots()
@@ -86,21 +102,33 @@
         self.open_at: float = 0
         self.options = options
         self._source = source
+        self._count_event = count_event
+
+    def list_live_logins(self) -> frozenset[str]:
+        """Return the logins with a connection open or being opened."""
+        live = self.slots.list_in_state(*_LIVE_STATES)
+        return frozenset(slot.login for slot in live)
 
-    @property
-    def has_live_slot(self) -> bool:
-        """Whether any connection is open or being opened."""
-        return bool(self.slots.list_in_state(*_LIVE_STATES))
+    def count_capacity(self, login: str = '') -> int:
+        """Return how many slots may be occupied when ``login`` needs one."""
+        if login or any(slot.login for slot in self.slots):
+            return max(self.limit, self.options.max_held)
+        return self.limit
 
     def serve(self, queue: FairQueue, now: float) -> list[PoolAction]:
         """Grant idle connections to ``queue`` and open more if needed."""
         if not queue:
             return []
-        return [
-            *self._probe_suspects(queue, now),
-            *self._grant_idle(queue, now),
-            *self._open_more(queue, now),
-        ]
+        probes = self._probe_suspects(now)
+        limits = RoomLimits(
+            self.limit,
+            self.options.max_opening if now >= self.open_at else 0,
+            self.count_capacity,
+        )
+        serving = ServingRound(self.slots, queue, limits, now)
+        serving.run()
+        self._count(serving.actions)
+        return [*probes, *serving.actions]
 
     def lease_idle(self, login: str, now: float) -> Slot | None:
         """Lease the most recently used idle connection.
@@ -110,11 +138,14 @@
         idle = self.slots.list_in_state(SlotState.IDLE)
         if any(slot.is_suspect for slot in idle):
             return None
+        if self.slots.count_in_state(SlotState.LEASED) >= self.limit:
+            return None
         fitting = [slot for slot in idle if slot.login == login]
         if not fitting:
             return None
         chosen = max(fitting, key=_used_at)
-        chosen.enter(SlotState.LEASED, now)
+        chosen.lease(now)
+        self._count_lease(chosen)
         return chosen
 
     def make_available(self, slot: Slot, now: float) -> list[PoolAction]:
@@ -123,7 +154,7 @@
         Closes it instead when the pool is above its limit.
         """
         slot.record_answer(now)
-        if len(self.slots) > self.limit:
+        if len(self.slots) > self.count_capacity():
             return [close_slot(slot, now)]
         slot.enter(SlotState.IDLE, now)
         return []
@@ -151,11 +182,11 @@
         for slot in self.slots.list_in_state(SlotState.LINGERING):
             if now >= slot.since + self.options.linger_s:
                 self.slots.remove(slot)
-        actions: list[PoolAction] = []
+        actions = self.close_surplus(now)
         idle = self.slots.list_in_state(SlotState.IDLE)
         spare = len(idle) - self.options.kept_idle
         for slot in sorted(idle, key=_used_at):
-            if spare > 0 and now - slot.used_at >= self.options.idle_s:
+            if spare > 0 and self._is_unused(slot, now):
                 spare -= 1
                 actions.append(close_slot(slot, now))
             elif now - slot.answered_at >= self.options.probe_after_s:
@@ -172,60 +203,42 @@
                 times.append(slot.answered_at + self.options.probe_after_s)
         return times
 
-    def _probe_suspects(
-        self,
-        queue: FairQueue,
-        now: float,
-    ) -> list[PoolAction]:
-        if not queue:
+    def close_surplus(self, now: float) -> list[PoolAction]:
+        """Close the least recently used idle connections beyond the limits."""
+        closing = self.slots.count_in_state(SlotState.CLOSING)
+        surplus = len(self.slots) - closing - self.count_capacity()
+        if surplus <= 0:
             return []
+        idle = self.slots.list_in_state(SlotState.IDLE)
+        idle.sort(key=_used_at)
+        return [close_slot(slot, now) for slot in idle[:surplus]]
+
+    def _count(self, actions: Iterable[PoolAction]) -> None:
+        for action in actions:
+            if isinstance(action, Open):
+                self._count_event('opened')
+            elif isinstance(action, Close):
+                self._count_event('evicted')
+            elif isinstance(action, Grant):
+                self._count_lease(self.slots.find(action.connection_id))
+
+    def _count_lease(self, slot: Slot | None) -> None:
+        if slot is not None and slot.leases > 1:
+            self._count_event('reused')
+
+    def _is_unused(self, slot: Slot, now: float) -> bool:
+        idle_s = self.options.idle_s
+        if slot.login:
+            idle_s = max(idle_s, self.options.login_idle_s)
+        return now - slot.used_at >= idle_s
+
+    def _probe_suspects(self, now: float) -> list[PoolAction]:
         return [
             _probe_slot(slot, now)
             for slot in self.slots.list_in_state(SlotState.IDLE)
             if slot.is_suspect
         ]
 
-    def _grant_idle(self, queue: FairQueue, now: float) -> list[PoolAction]:
-        """Grant the most recently used ones, so that the others expire."""
-        actions: list[PoolAction] = []
-        idle = self.slots.list_in_state(SlotState.IDLE)
-        idle.sort(key=_used_at)
-        while idle:
-            entry = queue.pop(frozenset(one.login for one in idle))
-            if entry is None:
-                break
-            slot = [one for one in idle if one.login == entry.login][-1]
-            idle.remove(slot)
-            slot.enter(SlotState.LEASED, now)
-            actions.append(Grant(entry.request_id, slot.connection_id))
-        return actions
-
-    def _open_more(self, queue: FairQueue, now: float) -> list[PoolAction]:
-        if now < self.open_at:
-            return []
-        actions: list[PoolAction] = []
-        opening = self.slots.list_in_state(SlotState.OPENING)
-        pending = [slot.login for slot in opening]
-        room = self.options.max_opening - len(opening)
-        for entry in queue.list_entries():
-            if entry.login in pending:
-                pending.remove(entry.login)
-            elif len(actions) >= room:
-                break
-            elif len(self.slots) < self.limit:
-                slot = self.slots.add(entry.login, now)
-                actions.append(Open(slot.connection_id, slot.login))
-            else:
-                return [*actions, *self._make_room(now)]
-        return actions
-
-    def _make_room(self, now: float) -> list[PoolAction]:
-        """Close an idle connection of a login that no request waits for."""
-        if self.slots.list_in_state(SlotState.CLOSING):
-            return []
-        idle = self.slots.list_in_state(SlotState.IDLE)
-        return [close_slot(slot, now) for slot in idle[:1]]
-
 
 def close_slot(slot: Slot, now: float) -> PoolAction:
     """Return the action that closes the connection of ``slot``."""
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -250,6 +250,11 @@
   shape @1 :Data;
 }
 
+struct CarriedOrganisation {
+  name @0 :Text;
+  prepared @1 :CarriedPrepared;
+}
+
 struct CarriedPosition {
   term @0 :UInt64;
   number @1 :UInt64;
@@ -263,7 +268,12 @@
   destination @4 :Destination;
   after @5 :CarriedPosition;
   values @6 :List(CarriedValue);
-  prepared @7 :CarriedPrepared;
+  # The union shares one pointer, so that requests without an organisation do
+  # not grow.
+  union {
+    prepared @7 :CarriedPrepared;
+    organised @10 :CarriedOrganisation;
+  }
   route @8 :Text;
   priority @9 :UInt8;
 }
--- a/catkincrank/standins/memorylink.py
+++ b/catkincrank/standins/memorylink.py
@@ -80,8 +80,10 @@
         group: Group of the endpoint.
         instance: The endpoint.
         runs: List to which statements are appended.
+        name: Name that the connection was opened with.
 
     Attributes:
+        name: Name that the connection was opened with.
         transactions: Number of transactions begun on the connection.
     """
 
@@ -90,8 +92,10 @@
         group: MemoryEndpointGroup,
         instance: MemoryEndpoint,
         runs: list[Run],
+        name: str = '',
     ) -> None:
         self.instance = instance
+        self.name = name
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[Prepared, bytes] = {}
         self.set_values: dict[bytes, bytes] = {}
@@ -282,7 +286,7 @@
     async def connect(
         self,
         entry: EndpointEntry,
-        application: str,
+        name: str,
     ) -> MemoryLink:
         """Open a link."""
         group = self._groups[entry.service]
@@ -292,4 +296,4 @@
             raise LinkRefusedError(Failure.OVERLOADED, 'too many connections')
         if not instance.is_up:
             await anyio.sleep(_FOREVER_S)
-        return MemoryLink(group, instance, self._runs)
+        return MemoryLink(group, instance, self._runs, name)
