--- a/catkincrank/gateway/linkaffinity.py
+++ b/catkincrank/gateway/linkaffinity.py
@@ -74,6 +74,10 @@
         likely = {
             name
             for name in names
-            if now < self._uses.get((organisation, name), -1) + _LIKELY_OPEN_S
+            if self._is_recent((organisation, name), now)
         }
         return frozenset((*likely, *rank_names(organisation, names)[:1]))
+
+    def _is_recent(self, use: tuple[str, str], now: float) -> bool:
+        used_at = self._uses.get(use)
+        return used_at is not None and now < used_at + _LIKELY_OPEN_S
