Keep links to each carrier in a pool of their own for organisations

Cause: organisations use different carriers of an endpoint, and one pool opened at most two links to any of them at a time. A carrier that did not answer held up the other organisations' links for its time-out of 0.4 s, and a failure to reach one backed off from all.

Change: LinkPools has a pool by endpoint and carrier for statements of organisations; without an organisation the pool is by endpoint, as before. The list of recent uses is an OrderedDict, whose oldest entry costs the same to remove whatever was removed before.

--- a/catkincrank/gateway/linkaffinity.py
+++ b/catkincrank/gateway/linkaffinity.py
@@ -6,6 +6,7 @@
 of cost, so that load and distance still decide between endpoints.
 """
 
+from collections import OrderedDict
 from collections.abc import Iterable
 from typing import final
 
@@ -32,7 +33,7 @@
 
     def __init__(self) -> None:
         # In the order of use, the least recent first.
-        self._uses: dict[tuple[str, str], float] = {}
+        self._uses: OrderedDict[tuple[str, str], float] = OrderedDict()
 
     def record_use(
         self, organisation: str, endpoint_id: str, now: float
@@ -41,10 +42,10 @@
         if not organisation:
             return
         use = (organisation, endpoint_id)
-        self._uses.pop(use, None)
         self._uses[use] = now
+        self._uses.move_to_end(use)
         if len(self._uses) > _MAX_USES:
-            self._uses.pop(next(iter(self._uses)))
+            self._uses.popitem(last=False)
 
     def list_likely(
         self,
@@ -72,9 +73,7 @@
             if entry.endpoint_id != primary_id and not entry.is_draining
         ]
         likely = {
-            name
-            for name in names
-            if self._is_recent((organisation, name), now)
+            name for name in names if self._is_recent((organisation, name), now)
         }
         return frozenset((*likely, *rank_names(organisation, names)[:1]))
 
--- a/catkincrank/gateway/linkpools.py
+++ b/catkincrank/gateway/linkpools.py
@@ -62,6 +62,12 @@
     kept_idle=0,
     login_idle_s=0,
 )
+# Links to a carrier that no organisation needs any more are closed.
+_VIA_OPTIONS = dataclasses.replace(
+    _OPTIONS,
+    idle_s=_ORGANISATION_IDLE_S,
+    kept_idle=0,
+)
 _MAX_WEIGHT = 8
 # Organisations below this priority have the same weight.
 _LOWEST_PRIORITY = 6
@@ -108,6 +114,11 @@
     runner: PoolRunner
     parked_links: ParkedLinks
 
+    @property
+    def requests(self) -> int:
+        """Number of statements that hold or await a link."""
+        return self.runner.pool.in_use + self.runner.pool.waiting
+
     @property
     def is_urgent(self) -> bool:
         """Whether statements wait, or other processes wait for its links."""
@@ -130,8 +141,7 @@
         entry: Endpoint of the link.
         is_held: Whether it was neither returned nor discarded.
         link: The link.
-        login: Name that the link was opened with: an organisation, or for a
-            link through a carrier the carrier; empty for the default.
+        login: Organisation that the link was opened for; empty for none.
     """
 
     __slots__ = (
@@ -190,7 +200,7 @@
 
 @final
 class LinkPools:
-    """Pools of links by endpoint.
+    """Pools of links by endpoint, and by carrier if that matters.
 
     Args:
         driver: Opens links.
@@ -224,7 +234,7 @@
         self._tasks = tasks
         self._source = random.Random()
         self._ticket_ids = itertools.count(1)
-        self._pools: dict[EndpointKey, _Pool] = {}
+        self._pools: dict[EndpointKey, dict[str, _Pool]] = {}
         self._find_share: _FindShare = _initial_share
         self._has_waiters = anyio.Event()
 
@@ -241,16 +251,16 @@
                 connections.
         """
         self._find_share = find_share
-        for key, pool in tuple(self._pools.items()):
-            entry = find_entry(pool.runner.pool.endpoint)
-            if entry is not None and make_key(entry) == key:
-                share = find_share(entry)
-                pool.parked_links.share = share
-                pool.runner.pool.change_options(_select_options(share))
-                pool.runner.set_leaving(is_leaving=False)
-                continue
-            pool.runner.set_leaving(is_leaving=True)
-            if not pool.runner.pool.held:
+        for key, pools in tuple(self._pools.items()):
+            for via, pool in tuple(pools.items()):
+                entry = find_entry(pool.runner.pool.endpoint)
+                if entry is not None and make_key(entry) == key:
+                    _change_share(pool, find_share(entry), via)
+                else:
+                    pool.runner.set_leaving(is_leaving=True)
+                if _is_obsolete(pool, via):
+                    pools.pop(via)
+            if not pools:
                 self._pools.pop(key)
         self._maintain()
 
@@ -258,23 +268,22 @@
         self,
         entry: EndpointEntry,
         link_request: LinkRequest,
-        login: str | None = None,
+        via: str = '',
     ) -> BorrowedLink:
         """Return a link once one is free.
 
         Args:
             entry: The endpoint.
             link_request: How the statement queues.
-            login: Name that the link must have been opened with, if that is
-                not the organisation.
+            via: Carrier that the link must lead to; such links are shared by
+                the organisations. Empty for any, or for a direct link.
 
         Raises:
             RequestError: The queue is full.
             EndpointError: The endpoint cannot be reached.
         """
-        pool = self._find_pool(entry)
-        if login is None:
-            login = link_request.organisation
+        pool = self._find_pool(entry, via)
+        login = '' if via else link_request.organisation
         while True:
             ticket = pool.runner.enqueue(
                 self._make_queue_entry(link_request, login)
@@ -289,35 +298,33 @@
 
     def count_requests(self, entry: EndpointEntry) -> int:
         """Return how many statements hold or await a link to an endpoint."""
-        pool = self._pools.get(make_key(entry))
-        if pool is None:
-            return 0
-        return pool.runner.pool.in_use + pool.runner.pool.waiting
+        pools = self._pools.get(make_key(entry), {})
+        return sum(pool.requests for pool in pools.values())
 
-    def count_leased(self, entry: EndpointEntry, login: str) -> int:
-        """Return how many links of ``login`` to an endpoint are in use."""
-        pool = self._pools.get(make_key(entry))
-        return pool.runner.pool.count_leased(login) if pool else 0
+    def count_requests_via(self, entry: EndpointEntry, via: str) -> int:
+        """Return the same for the links through one carrier."""
+        pool = self._pools.get(make_key(entry), {}).get(via)
+        return 0 if pool is None else pool.requests
 
     def list_pools(self) -> list[PoolState]:
         """Return the states of all pools, for the state dump."""
-        return [one.runner.pool.describe() for one in self._pools.values()]
+        return [pool.runner.pool.describe() for pool in self._list()]
 
     async def connect(
-        self, entry: EndpointEntry, login: str = ''
+        self, entry: EndpointEntry, name: str = ''
     ) -> EndpointLink:
         """Open a link outside the pools.
 
         Args:
             entry: The endpoint.
-            login: Name to open it with; empty for the process's own.
+            name: Organisation to open it for, or carrier to open it to; empty
+                for the process itself.
 
         Raises:
             EndpointError: The endpoint cannot be reached.
         """
         with anyio.move_on_after(_CONNECT_TIMEOUT_S):
-            name = login or self._application
-            return await self._driver.connect(entry, name)
+            return await self._driver.connect(entry, name or self._application)
         raise EndpointError('no answer', was_sent=False)
 
     async def run(self) -> None:
@@ -334,11 +341,11 @@
 
     async def close(self) -> None:
         """Close every link."""
-        for pool in tuple(self._pools.values()):
+        for pool in self._list():
             await pool.runner.close()  # noqa: WPS476
 
     async def _await_tick(self) -> None:
-        if any(pool.is_urgent for pool in self._pools.values()):
+        if any(pool.is_urgent for pool in self._list()):
             await anyio.sleep(_TICK_INTERVAL_S)
             return
         self._has_waiters = anyio.Event()
@@ -347,7 +354,7 @@
 
     def _maintain(self, *, only_urgent: bool = False) -> None:
         now = anyio.current_time()
-        for pool in tuple(self._pools.values()):
+        for pool in self._list():
             if only_urgent and not pool.is_urgent:
                 continue
             pool.runner.change_limit(pool.parked_links.limit(now))
@@ -365,26 +372,36 @@
             anyio.current_time(),
         )
 
-    def _find_pool(self, entry: EndpointEntry) -> _Pool:
-        key = make_key(entry)
-        pool = self._pools.get(key)
+    def _list(self) -> list[_Pool]:
+        return [
+            pool for pools in self._pools.values() for pool in pools.values()
+        ]
+
+    def _find_pool(self, entry: EndpointEntry, via: str) -> _Pool:
+        pools = self._pools.setdefault(make_key(entry), {})
+        pool = pools.get(via)
         if pool is None:
             share = self._find_share(entry)
             endpoint_pool = EndpointPool(
                 entry.endpoint_id,
                 share.limit,
-                _select_options(share),
+                _select_options(share, via),
                 self._source,
                 self._count_event,
             )
-            connect = partial(self.connect, entry)
+            connect = partial(self._open, entry, via)
             pool = _Pool(
                 PoolRunner(endpoint_pool, connect, self._tasks),
                 ParkedLinks(share),
             )
-            self._pools[key] = pool
+            pools[via] = pool
         return pool
 
+    async def _open(
+        self, entry: EndpointEntry, via: str, login: str
+    ) -> EndpointLink:
+        return await self.connect(entry, via or login)
+
 
 EndpointKey = tuple[str, str, str, int, int]
 
@@ -405,6 +422,22 @@
     return ConnectionShare(1, 1)
 
 
-def _select_options(share: ConnectionShare) -> PoolOptions:
+def _is_obsolete(pool: _Pool, via: str) -> bool:
+    """Return whether a pool without links will hardly be used again."""
+    endpoint_pool = pool.runner.pool
+    if endpoint_pool.held or endpoint_pool.waiting:
+        return False
+    return endpoint_pool.is_leaving or via != ''
+
+
+def _change_share(pool: _Pool, share: ConnectionShare, via: str) -> None:
+    pool.parked_links.share = share
+    pool.runner.pool.change_options(_select_options(share, via))
+    pool.runner.set_leaving(is_leaving=False)
+
+
+def _select_options(share: ConnectionShare, via: str) -> PoolOptions:
+    if via:
+        return _VIA_OPTIONS
     options = _SCARCE_OPTIONS if share.is_contended else _OPTIONS
     return dataclasses.replace(options, max_held=share.max_held)
--- a/catkincrank/gateway/linkprovider.py
+++ b/catkincrank/gateway/linkprovider.py
@@ -27,10 +27,7 @@
 _MAX_CARRIER_LINKS = 8
 # Statements of this process at one carrier of an endpoint beyond which an
 # organisation's statements go to its second carrier.
-_BUSY_LINKS = 4
-# Most links through carriers to one endpoint, including idle ones: statements
-# of organisations go to all of its carriers.
-_MAX_HELD_CARRIER_LINKS = 24
+_BUSY_STATEMENTS = 4
 
 
 @final
@@ -104,10 +101,10 @@
         carrier = self._find_carrier(entry, link_request.organisation)
         if carrier is None:
             return await self.direct_pools.borrow(entry, link_request)
-        # Links to carriers belong to no organisation; only those of
-        # organisations have to lead to one carrier.
-        login = carrier.name if link_request.organisation else ''
-        borrowed = await self._carrier_pools.borrow(entry, link_request, login)
+        # Without an organisation, links that lead to an earlier choice of
+        # carrier are used as well.
+        via = carrier.name if link_request.organisation else ''
+        borrowed = await self._carrier_pools.borrow(entry, link_request, via)
         borrowed.link.apply_link_request(link_request)
         return borrowed
 
@@ -162,8 +159,8 @@
         )
 
     def _is_busy(self, entry: EndpointEntry, carrier: MemberRecord) -> bool:
-        leased = self._carrier_pools.count_leased(entry, carrier.name)
-        return leased >= _BUSY_LINKS
+        count = self._carrier_pools.count_requests_via(entry, carrier.name)
+        return count >= _BUSY_STATEMENTS
 
     def _share(self, entry: EndpointEntry, *, is_new: bool) -> ConnectionShare:
         share = self._carriers.share(entry)
@@ -184,8 +181,4 @@
 
 
 def _share_remote(_entry: EndpointEntry) -> ConnectionShare:
-    return ConnectionShare(
-        _MAX_CARRIER_LINKS,
-        _MAX_CARRIER_LINKS,
-        max_held=_MAX_HELD_CARRIER_LINKS,
-    )
+    return ConnectionShare(_MAX_CARRIER_LINKS, _MAX_CARRIER_LINKS)
--- a/catkincrank/pool.py
+++ b/catkincrank/pool.py
@@ -117,11 +117,6 @@
         slot = self._supply.slots.find(connection_id)
         return None if slot is None else slot.login
 
-    def count_leased(self, login: str) -> int:
-        """Return how many connections of ``login`` are leased."""
-        leased = self._supply.slots.list_in_state(SlotState.LEASED)
-        return len([slot for slot in leased if slot.login == login])
-
     def describe(self) -> PoolState:
         """Return the state for the state dump."""
         return PoolState(
--- a/tests/test_organisation_links.py
+++ b/tests/test_organisation_links.py
@@ -8,6 +8,7 @@
 import pytest
 
 from catkincrank.envelope import decode_message, encode_message
+from catkincrank.gateway import remotelink
 from catkincrank.gateway.carriermessages import (
     CarriedOrganisation,
     CarryRequest,
@@ -16,11 +17,14 @@
 from catkincrank.gateway.carriers import ConnectionShare
 from catkincrank.gateway.catalog import Organisation
 from catkincrank.gateway.linkaffinity import LinkAffinity
+from catkincrank.gateway.linkcounter import LinkCounter
 from catkincrank.gateway.linkpools import LinkPools, LinkRequest
 from catkincrank.gateway.placement import PlacementRequest
 from catkincrank.gateway.reply import Failure
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.gateway.statement import Prepared
+from catkincrank.links import LinkClosedError
+from catkincrank.metrics import Metrics
 from catkincrank.standins.memoryendpoints import MemoryEndpointGroup
 from catkincrank.standins.memorylink import MemoryDriver
 from tests import test_gateway_carriers as carried
@@ -172,6 +176,59 @@
     return failures
 
 
+def test_links_are_counted_by_event():
+    """Guards against operators who cannot tell reuse from opening."""
+    metrics = Metrics()
+    counter = LinkCounter(metrics)
+
+    async def scenario(pools, entry, _driver):
+        pools._count_event = counter.count
+        for name in ('x', 'x', 'y', 'x'):
+            await use(pools, entry, name)
+
+    run_pools(scenario, ConnectionShare(1, 1))
+    sample = metrics.registry.get_sample_value
+    events = ('opened', 'reused', 'evicted')
+    counts = [
+        sample('catkincrank_links_total', {'event': event}) for event in events
+    ]
+    assert counts == [3, 1, 2]
+
+
+def test_silent_carrier_does_not_delay_links_to_others(monkeypatch):
+    """Guards against one time-out that holds up every organisation.
+
+    The connections to all carriers of an endpoint were opened two at a time.
+    """
+
+    async def scenario(path):
+        found = use_three_carriers(path)
+        first = min(found)
+        silent = found[first]
+        dial = path._dial
+
+        async def dial_slowly(host, *rest):
+            if host == silent.name:
+                await anyio.sleep(0.4)
+                raise LinkClosedError('no answer')
+            return await dial(host, *rest)
+
+        monkeypatch.setattr(remotelink, 'dial', dial_slowly)
+        others = [name for name, one in found.items() if one != silent]
+        assert others
+        async with anyio.create_task_group() as tasks:
+            for _ in range(3):
+                tasks.start_soon(run_session, path, {}, first, b'READ k')
+            await anyio.sleep(0.01)
+            began = anyio.current_time()
+            for name in others[:3]:
+                failures = await run_session(path, {}, name, b'READ k')
+                assert failures == [None]
+            assert anyio.current_time() < began + 0.1
+
+    carried._run_scenario(monkeypatch, scenario)
+
+
 SCRIPTS = (
     (b'READ k',),
     (b'WRITE k v', b'READ k'),
@@ -180,6 +237,28 @@
 )
 
 
+def use_three_carriers(path):
+    """Let the endpoints accept enough connections for three carriers.
+
+    Returns:
+        The first carrier of each of some organisations, for endpoint ``a``.
+    """
+    for one in path.group.list_entries():
+        path.groups.roster.put(dataclasses.replace(one, slots=3))
+    path.link_provider.configure(
+        path.groups.roster.find,
+        {'svc': 20},
+        path.link_provider._carriers._members,
+        is_new=False,
+    )
+    entry = path.groups.roster.find('a')
+    found = {
+        name: path.link_provider._find_carrier(entry, name)
+        for name in map('o{0}'.format, range(20))
+    }
+    return {name: one for name, one in found.items() if one is not None}
+
+
 def set_shares(path, share):
     for service in path.carrier_services.values():
         service._pools.configure(path.groups.roster.find, lambda _: share)
@@ -225,6 +304,7 @@
 
     async def scenario(path):
         source = random.Random(seed)
+        use_three_carriers(path)
         set_shares(path, ConnectionShare(1, 2, max_held=2))
         organisations = {}
         done = []
@@ -267,14 +347,13 @@
 ):
     async def scenario(path):
         organisations = {}
-        entry = path.group.list_entries()[0]
-        await run_session(path, organisations, 'x', b'READ k')
-        first = path.link_provider._find_carrier(entry, 'x')
-        getattr(path, fault).add(first.name)
-        failures = await run_session(path, organisations, 'x', b'READ k')
-        assert failures == [None]
-        second = path.link_provider._find_carrier(entry, 'x')
-        assert second != first
+        found = use_three_carriers(path)
+        for name, first in list(found.items())[:3]:
+            await run_session(path, organisations, name, b'READ k')
+            getattr(path, fault).add(first.name)
+            failures = await run_session(path, organisations, name, b'READ k')
+            assert failures == [None]
+            assert found[name] != use_three_carriers(path).get(name)
         check_names(path, organisations)
 
     carried._run_scenario(monkeypatch, scenario)
