--- a/catkincrank/gateway/linkpools.py
+++ b/catkincrank/gateway/linkpools.py
@@ -16,8 +16,14 @@
 from catkincrank.gateway.link import EndpointLink, LinkDriver
 from catkincrank.gateway.parkedlinks import ParkedLinks
 from catkincrank.gateway.roster import EndpointEntry
-from catkincrank.pool import EndpointPool, PoolOptions, PoolState
+from catkincrank.pool import (
+    EndpointPool,
+    PoolOptions,
+    PoolState,
+    ignore_event,
+)
 from catkincrank.poolrunner import PoolRunner
+from catkincrank.poolsupply import CountEvent
 from catkincrank.retry import OPENING_BACKOFF
 
 __all__ = ('BorrowedLink', 'LinkRequest', 'LinkPools')
@@ -31,6 +37,10 @@
 _IDLE_TICK_INTERVAL_S = 0.5
 # No route's time limit is long enough to serve a longer queue.
 _QUEUE_LENGTH = 256
+# Links of organisations are kept longer than those of the process itself: a
+# small organisation needs one every few seconds, and opening it occupies a slot
+# of the endpoint for 12 ms.
+_ORGANISATION_IDLE_S = 30.0
 # Unused links beyond the first are closed early, so that other VMs can connect.
 _OPTIONS = PoolOptions(
     queue_length=_QUEUE_LENGTH,
@@ -41,6 +51,7 @@
     max_opening=2,
     linger_s=0.5,
     backoff=OPENING_BACKOFF,
+    login_idle_s=_ORGANISATION_IDLE_S,
 )
 # Where an endpoint accepts fewer connections than there are VMs, unused links
 # are closed almost at once; a waiting VM opens its own, which takes 12 ms.
@@ -49,8 +60,17 @@
     _OPTIONS,
     idle_s=_SCARCE_IDLE_S,
     kept_idle=0,
+    login_idle_s=0,
+)
+# Links to a carrier that no organisation needs any more are closed.
+_VIA_OPTIONS = dataclasses.replace(
+    _OPTIONS,
+    idle_s=_ORGANISATION_IDLE_S,
+    kept_idle=0,
 )
 _MAX_WEIGHT = 8
+# Organisations below this priority have the same weight.
+_LOWEST_PRIORITY = 6
 _FindShare = Callable[[EndpointEntry], ConnectionShare]
 
 
@@ -61,7 +81,8 @@
 
     Attributes:
         route: Name of the route.
-        priority: Queue priority; 0 is served first.
+        priority: Queue priority, the sum of that of the route and that of the
+            organisation; 0 is served first.
         deadline: When the statement leaves the queue.
         organisation: Organisation that the link must belong to; empty for a
             link of the process itself.
@@ -72,6 +93,20 @@
     deadline: float
     organisation: str = ''
 
+    @property
+    def team(self) -> str:
+        """Share of the pool that it counts towards: organisation and route."""
+        if self.organisation:
+            return '{0} {1}'.format(self.organisation, self.route)
+        return self.route
+
+    @property
+    def weight(self) -> float:
+        """Weight of the team."""
+        if self.organisation:
+            return _MAX_WEIGHT / 2 ** min(self.priority, _LOWEST_PRIORITY)
+        return max(1, _MAX_WEIGHT >> self.priority)
+
 
 @final
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +114,11 @@
     runner: PoolRunner
     parked_links: ParkedLinks
 
+    @property
+    def requests(self) -> int:
+        """Number of statements that hold or await a link."""
+        return self.runner.pool.in_use + self.runner.pool.waiting
+
     @property
     def is_urgent(self) -> bool:
         """Whether statements wait, or other processes wait for its links."""
@@ -101,6 +141,7 @@
         entry: Endpoint of the link.
         is_held: Whether it was neither returned nor discarded.
         link: The link.
+        login: Organisation that the link was opened for; empty for none.
     """
 
     __slots__ = (
@@ -111,6 +152,7 @@
         'entry',
         'is_held',
         'link',
+        'login',
     )
 
     def __init__(
@@ -125,6 +167,7 @@
         self._runner = pool.runner
         self._connection_id = connection_id
         self.link: EndpointLink = pool.runner.connection(connection_id)
+        self.login = pool.runner.pool.find_login(connection_id)
         self.is_held = True
 
     def park(self) -> None:
@@ -157,16 +200,18 @@
 
 @final
 class LinkPools:
-    """Pools of links by endpoint.
+    """Pools of links by endpoint, and by carrier if that matters.
 
     Args:
         driver: Opens links.
         application: Application name given to the endpoints.
         tasks: Task group that opens, probes and closes links.
+        count_event: Counts links ``opened``, ``reused`` and ``evicted``.
     """
 
     __slots__ = (
         '_application',
+        '_count_event',
         '_driver',
         '_find_share',
         '_has_waiters',
@@ -181,13 +226,15 @@
         driver: LinkDriver,
         application: str,
         tasks: TaskGroup,
+        count_event: CountEvent = ignore_event,
     ) -> None:
+        self._count_event = count_event
         self._driver = driver
         self._application = application
         self._tasks = tasks
         self._source = random.Random()
         self._ticket_ids = itertools.count(1)
-        self._pools: dict[EndpointKey, _Pool] = {}
+        self._pools: dict[EndpointKey, dict[str, _Pool]] = {}
         self._find_share: _FindShare = _initial_share
         self._has_waiters = anyio.Event()
 
@@ -204,16 +251,16 @@
                 connections.
         """
         self._find_share = find_share
-        for key, pool in tuple(self._pools.items()):
-            entry = find_entry(pool.runner.pool.endpoint)
-            if entry is not None and make_key(entry) == key:
-                share = find_share(entry)
-                pool.parked_links.share = share
-                pool.runner.pool.change_options(_select_options(share))
-                pool.runner.set_leaving(is_leaving=False)
-                continue
-            pool.runner.set_leaving(is_leaving=True)
-            if not pool.runner.pool.held:
+        for key, pools in tuple(self._pools.items()):
+            for via, pool in tuple(pools.items()):
+                entry = find_entry(pool.runner.pool.endpoint)
+                if entry is not None and make_key(entry) == key:
+                    _change_share(pool, find_share(entry), via)
+                else:
+                    pool.runner.set_leaving(is_leaving=True)
+                if _is_obsolete(pool, via):
+                    pools.pop(via)
+            if not pools:
                 self._pools.pop(key)
         self._maintain()
 
@@ -221,17 +268,25 @@
         self,
         entry: EndpointEntry,
         link_request: LinkRequest,
+        via: str = '',
     ) -> BorrowedLink:
         """Return a link once one is free.
 
+        Args:
+            entry: The endpoint.
+            link_request: How the statement queues.
+            via: Carrier that the link must lead to; such links are shared by
+                the organisations. Empty for any, or for a direct link.
+
         Raises:
             RequestError: The queue is full.
             EndpointError: The endpoint cannot be reached.
         """
-        pool = self._find_pool(entry)
+        pool = self._find_pool(entry, via)
+        login = '' if via else link_request.organisation
         while True:
             ticket = pool.runner.enqueue(
-                self._make_queue_entry(entry, link_request)
+                self._make_queue_entry(link_request, login)
             )
             if not ticket.is_decided:
                 self._has_waiters.set()
@@ -243,23 +298,33 @@
 
     def count_requests(self, entry: EndpointEntry) -> int:
         """Return how many statements hold or await a link to an endpoint."""
-        pool = self._pools.get(make_key(entry))
-        if pool is None:
-            return 0
-        return pool.runner.pool.in_use + pool.runner.pool.waiting
+        pools = self._pools.get(make_key(entry), {})
+        return sum(pool.requests for pool in pools.values())
+
+    def count_requests_via(self, entry: EndpointEntry, via: str) -> int:
+        """Return the same for the links through one carrier."""
+        pool = self._pools.get(make_key(entry), {}).get(via)
+        return 0 if pool is None else pool.requests
 
     def list_pools(self) -> list[PoolState]:
         """Return the states of all pools, for the state dump."""
-        return [one.runner.pool.describe() for one in self._pools.values()]
+        return [pool.runner.pool.describe() for pool in self._list()]
 
-    async def connect(self, entry: EndpointEntry) -> EndpointLink:
+    async def connect(
+        self, entry: EndpointEntry, name: str = ''
+    ) -> EndpointLink:
         """Open a link outside the pools.
 
+        Args:
+            entry: The endpoint.
+            name: Organisation to open it for, or carrier to open it to; empty
+                for the process itself.
+
         Raises:
             EndpointError: The endpoint cannot be reached.
         """
         with anyio.move_on_after(_CONNECT_TIMEOUT_S):
-            return await self._driver.connect(entry, self._application)
+            return await self._driver.connect(entry, name or self._application)
         raise EndpointError('no answer', was_sent=False)
 
     async def run(self) -> None:
@@ -276,11 +341,11 @@
 
     async def close(self) -> None:
         """Close every link."""
-        for pool in tuple(self._pools.values()):
+        for pool in self._list():
             await pool.runner.close()  # noqa: WPS476
 
     async def _await_tick(self) -> None:
-        if any(pool.is_urgent for pool in self._pools.values()):
+        if any(pool.is_urgent for pool in self._list()):
             await anyio.sleep(_TICK_INTERVAL_S)
             return
         self._has_waiters = anyio.Event()
@@ -289,47 +354,53 @@
 
     def _maintain(self, *, only_urgent: bool = False) -> None:
         now = anyio.current_time()
-        for pool in tuple(self._pools.values()):
+        for pool in self._list():
             if only_urgent and not pool.is_urgent:
                 continue
             pool.runner.change_limit(pool.parked_links.limit(now))
             pool.runner.tick()
 
     def _make_queue_entry(
-        self,
-        entry: EndpointEntry,
-        link_request: LinkRequest,
+        self, link_request: LinkRequest, login: str
     ) -> QueueEntry:
         return QueueEntry(
             next(self._ticket_ids),
-            link_request.route,
+            link_request.team,
             link_request.deadline,
-            max(1, _MAX_WEIGHT >> link_request.priority),
-            entry.service,
+            link_request.weight,
+            login,
             anyio.current_time(),
         )
 
-    def _find_pool(self, entry: EndpointEntry) -> _Pool:
-        key = make_key(entry)
-        pool = self._pools.get(key)
+    def _list(self) -> list[_Pool]:
+        return [
+            pool for pools in self._pools.values() for pool in pools.values()
+        ]
+
+    def _find_pool(self, entry: EndpointEntry, via: str) -> _Pool:
+        pools = self._pools.setdefault(make_key(entry), {})
+        pool = pools.get(via)
         if pool is None:
             share = self._find_share(entry)
             endpoint_pool = EndpointPool(
                 entry.endpoint_id,
                 share.limit,
-                _select_options(share),
+                _select_options(share, via),
                 self._source,
+                self._count_event,
             )
-            connect = partial(self._open, entry)
+            connect = partial(self._open, entry, via)
             pool = _Pool(
                 PoolRunner(endpoint_pool, connect, self._tasks),
                 ParkedLinks(share),
             )
-            self._pools[key] = pool
+            pools[via] = pool
         return pool
 
-    async def _open(self, entry: EndpointEntry, _login: str) -> EndpointLink:
-        return await self.connect(entry)
+    async def _open(
+        self, entry: EndpointEntry, via: str, login: str
+    ) -> EndpointLink:
+        return await self.connect(entry, via or login)
 
 
 EndpointKey = tuple[str, str, str, int, int]
@@ -351,5 +422,22 @@
     return ConnectionShare(1, 1)
 
 
-def _select_options(share: ConnectionShare) -> PoolOptions:
-    return _SCARCE_OPTIONS if share.is_contended else _OPTIONS
+def _is_obsolete(pool: _Pool, via: str) -> bool:
+    """Return whether a pool without links will hardly be used again."""
+    endpoint_pool = pool.runner.pool
+    if endpoint_pool.held or endpoint_pool.waiting:
+        return False
+    return endpoint_pool.is_leaving or via != ''
+
+
+def _change_share(pool: _Pool, share: ConnectionShare, via: str) -> None:
+    pool.parked_links.share = share
+    pool.runner.pool.change_options(_select_options(share, via))
+    pool.runner.set_leaving(is_leaving=False)
+
+
+def _select_options(share: ConnectionShare, via: str) -> PoolOptions:
+    if via:
+        return _VIA_OPTIONS
+    options = _SCARCE_OPTIONS if share.is_contended else _OPTIONS
+    return dataclasses.replace(options, max_held=share.max_held)
