Check callers' keys and end the sessions whose key was withdrawn

Cause: the gateway opened a session for any key, and a key that a later configuration removed went on working. Change: a directory resolves a session's key to its organisation at startup, before each operation and before each statement of an open transaction. A statement that still waits for a link is refused with DENIED. The session server takes quotas, which admit nothing away by default. Caller moved to a module of its own.

--- a/catkincrank/gateway/execution.py
+++ b/catkincrank/gateway/execution.py
@@ -82,6 +82,9 @@
         )
         while True:
             choice, borrowed = await self._placement.place(request)
+            if session.is_revoked:
+                borrowed.give_back()
+                raise session.deny(Failure.DENIED)
             try:
                 reply = await self._attempt(
                     session, statement, request, choice, borrowed
--- a/catkincrank/gateway/groups.py
+++ b/catkincrank/gateway/groups.py
@@ -1,5 +1,6 @@
 """Local state of all groups, with waiting for changes."""
 
+from collections.abc import Callable
 from typing import final
 
 import anyio
@@ -12,7 +13,7 @@
 
 
 @final
-class Groups:
+class Groups:  # noqa: WPS214
     """Configuration, endpoints and evidence about groups of one process.
 
     Attributes:
@@ -24,6 +25,7 @@
         '_changed',
         '_evidence',
         '_leaving_since',
+        '_listeners',
         '_proof_requested',
         '_proof_requests',
         'catalog',
@@ -36,6 +38,7 @@
         self._evidence: dict[str, GroupEvidence] = {}
         self._changed = anyio.Event()
         self._leaving_since: dict[str, float] = {}
+        self._listeners: list[Callable[[], None]] = []
         self._proof_requested = anyio.Event()
         self._proof_requests: set[str] = set()
 
@@ -53,9 +56,15 @@
         if current is not None and current.version >= catalog.version:
             return False
         self.catalog = catalog
+        for listener in self._listeners:
+            listener()
         self.notify_waiters()
         return True
 
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` whenever a configuration has been accepted."""
+        self._listeners.append(listener)
+
     def find_primary(
         self,
         service: str,
--- a/catkincrank/gateway/requestlog.py
+++ b/catkincrank/gateway/requestlog.py
@@ -1,5 +1,6 @@
 """Log lines and metrics of requests, with a rate limit."""
 
+from collections.abc import Mapping
 from typing import final
 
 import anyio
@@ -16,6 +17,13 @@
 # requests per second and VM, and for a burst of ten times that.
 _LINES_PER_S = 50
 _BURST_LINES = 300
+# Callers with an unknown key may connect again without pause; their lines must
+# not displace those of other requests.
+_SESSION_LINES_PER_S = 5
+_SESSION_BURST_LINES = 50
+# Names in the line about sessions that end; one version may withdraw any number
+# of keys.
+_MAX_NAMES = 10
 
 
 @final
@@ -70,10 +78,29 @@
         budget: Limits the rate of log lines.
     """
 
-    __slots__ = ('_budget', '_latency', '_requests')
+    __slots__ = (
+        '_budget',
+        '_denied_sessions',
+        '_latency',
+        '_requests',
+        '_revoked_sessions',
+        '_session_budget',
+    )
 
     def __init__(self, metrics: Metrics, budget: LineBudget) -> None:
         self._budget = budget
+        self._session_budget = LineBudget(
+            _SESSION_LINES_PER_S, _SESSION_BURST_LINES
+        )
+        self._denied_sessions = metrics.counter(
+            'denied_sessions',
+            'Sessions refused because no organisation has their key.',
+        )
+        self._revoked_sessions = metrics.counter(
+            'revoked_sessions',
+            'Sessions whose key was withdrawn, by state at that time.',
+            ('state',),
+        )
         self._requests = metrics.counter(
             'requests',
             'Statements of callers by kind and outcome.',
@@ -103,6 +130,7 @@
             return
         self._write(
             'request_refused',
+            self._budget,
             request=statement.request_id.decode('ascii', 'replace'),
             database=session.database,
             service=service,
@@ -115,29 +143,66 @@
 
     def record_unknown_database(self, database: str) -> None:
         """Log a connection attempt that named an unknown database."""
-        self._write('database_unknown', database=database)
+        self._write('database_unknown', self._budget, database=database)
+
+    def record_denied_session(self, database: str) -> None:
+        """Count and log a connection attempt with an unknown key."""
+        self._denied_sessions.inc()
+        self._write('session_denied', self._session_budget, database=database)
+
+    def record_revoked_sessions(
+        self, version: int, counts: Mapping[str, int], organisations: set[str]
+    ) -> None:
+        """Count and log the sessions whose key a configuration withdrew.
+
+        Args:
+            version: Version of the configuration.
+            counts: Number of sessions by state.
+            organisations: Names that the sessions had; empty for none.
+        """
+        for state, count in counts.items():
+            self._revoked_sessions.labels(state).inc(count)
+        log_event(
+            'keys_withdrawn',
+            version=version,
+            organisations=sorted(organisations)[:_MAX_NAMES],
+            organisation_count=len(organisations),
+            **counts,
+        )
+
+    def record_revoked_transaction(self, session: Session) -> None:
+        """Log a transaction that was rolled back for a withdrawn key."""
+        self._write(
+            'transaction_revoked',
+            self._session_budget,
+            database=session.database,
+            organisation=session.organisation,
+        )
 
     def record_idle_transaction(self, session: Session) -> None:
         """Log a transaction that was rolled back by the idle time-out."""
-        self._write('transaction_idled', database=session.database)
+        self._write(
+            'transaction_idled', self._budget, database=session.database
+        )
 
     def record_disconnect(self, session: Session | None) -> None:
         """Log a caller that disconnected within a transaction."""
         if session is not None and session.transaction is not None:
-            self._write('caller_left', database=session.database)
+            self._write('caller_left', self._budget, database=session.database)
 
     def record_crash(self, session: Session | None, error: Exception) -> None:
         """Log a session that ended by an internal error of the proxy."""
         self._write(
             'session_crashed',
+            self._budget,
             database='' if session is None else session.database,
             cause=repr(error),
         )
 
-    def _write(self, event: str, **fields: object) -> None:
-        if not self._budget.take(anyio.current_time()):
+    def _write(self, event: str, budget: LineBudget, **fields: object) -> None:
+        if not budget.take(anyio.current_time()):
             return
-        dropped = self._budget.reset_dropped()
+        dropped = budget.reset_dropped()
         if dropped:
             fields['lines_dropped'] = dropped
         log_event(event, **fields)
--- a/catkincrank/gateway/requestpath.py
+++ b/catkincrank/gateway/requestpath.py
@@ -8,6 +8,7 @@
 from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.linkprovider import LinkProvider
 from catkincrank.gateway.options import GatewayOptions
+from catkincrank.gateway.organisations.admission import UNLIMITED, Quotas
 from catkincrank.gateway.placement import Placement
 from catkincrank.gateway.requestlog import LineBudget, RequestLog
 from catkincrank.gateway.sessionserver import SessionServer
@@ -23,6 +24,7 @@
     groups: Groups,
     link_provider: LinkProvider,
     metrics: Metrics,
+    quotas: Quotas = UNLIMITED,
 ) -> SessionServer:
     """Return the server for the sessions of callers."""
     latencies = Latencies(options.zone, dict(options.regions))
@@ -34,4 +36,5 @@
         Transactions(placement, forwarder),
         RequestLog(metrics, LineBudget()),
         caller_codecs.find(adapter.callers),
+        quotas,
     )
--- a/catkincrank/gateway/session.py
+++ b/catkincrank/gateway/session.py
@@ -1,13 +1,21 @@
 """Session state of one caller, and statements answered without I/O."""
 
+import math
 from collections.abc import Callable, Mapping
 from typing import final
 
+import anyio
+
 from catkincrank.endpoint import TransactionStatus
 from catkincrank.gateway.catalog import Route
 from catkincrank.gateway.linkpools import BorrowedLink
 from catkincrank.gateway.position import Position
-from catkincrank.gateway.reply import Failure, Reply, refuse
+from catkincrank.gateway.reply import (
+    Failure,
+    Reply,
+    StatementFailed,
+    refuse,
+)
 from catkincrank.gateway.statement import Kind, Prepared, Statement
 
 __all__ = ('Session', 'Transaction', 'answer_locally')
@@ -26,11 +34,15 @@
         term: Term of the primary that it runs on; 0 at a replica.
         has_written: Whether at least one of its writes succeeded.
         arrived_at: When the caller began it, in seconds.
+        expires_at: When it is rolled back because the caller's key was
+            withdrawn, in seconds; infinity while the key is valid.
     """
 
     __slots__ = (
+        '_scope',
         'arrived_at',
         'borrowed',
+        'expires_at',
         'has_written',
         'is_read_only',
         'route',
@@ -50,6 +62,19 @@
         self.term = 0
         self.has_written = False
         self.arrived_at = now
+        self.expires_at = math.inf
+        self._scope: anyio.CancelScope | None = None
+
+    def limit(self) -> anyio.CancelScope:
+        """Return a scope for one statement that ends at ``expires_at``."""
+        self._scope = anyio.CancelScope(deadline=self.expires_at)
+        return self._scope
+
+    def expire(self, deadline: float) -> None:
+        """Change when it is rolled back, also for a running statement."""
+        self.expires_at = deadline
+        if self._scope is not None:
+            self._scope.deadline = deadline
 
     def close_link(self) -> None:
         """Close the link, which makes the endpoint roll back."""
@@ -72,11 +97,16 @@
         prepared: Prepared statements by name.
         transaction: Open transaction, if any.
         last_commit: Log position of the session's newest commit.
+        is_revoked: Whether the key was withdrawn.
+        is_denied: Whether a statement was refused for that reason; the
+            session is then closed.
     """
 
     __slots__ = (
         'credential',
         'database',
+        'is_denied',
+        'is_revoked',
         'last_commit',
         'organisation',
         'prepared',
@@ -99,6 +129,8 @@
         self.prepared: dict[bytes, Prepared] = {}
         self.transaction: Transaction | None = None
         self.last_commit: Position | None = None
+        self.is_revoked = False
+        self.is_denied = False
 
     def record_commit(self, position: Position | None) -> None:
         """Advance the log position of the session's newest commit."""
@@ -117,6 +149,11 @@
         """Mark the open transaction as failed."""
         self.status = TransactionStatus.FAILED
 
+    def deny(self, failure: Failure) -> StatementFailed:
+        """Return the failure of a statement whose key was withdrawn."""
+        self.is_denied = True
+        return StatementFailed(failure, 'the key was withdrawn')
+
     def end(self) -> None:
         """Clear the transaction, which has ended at the endpoint."""
         self.transaction = None
--- a/catkincrank/gateway/sessionserver.py
+++ b/catkincrank/gateway/sessionserver.py
@@ -1,11 +1,13 @@
 """Serves callers, with one session for each connection."""
 
+import math
 from typing import final
 
 import anyio
 from anyio.abc import SocketStream
 
 from catkincrank.endpoint import TransactionStatus
+from catkincrank.gateway.caller import Caller
 from catkincrank.gateway.callers import (
     DISCONNECT_ERRORS,
     CallerCodec,
@@ -15,13 +17,15 @@
 from catkincrank.gateway.catalog import Route
 from catkincrank.gateway.execution import Execution
 from catkincrank.gateway.groups import Groups
+from catkincrank.gateway.organisations.admission import UNLIMITED, Quotas
+from catkincrank.gateway.organisations.keycheck import KeyCheck
 from catkincrank.gateway.reply import Failure, Reply, StatementFailed, refuse
 from catkincrank.gateway.requestlog import RequestLog
 from catkincrank.gateway.session import Session, answer_locally
 from catkincrank.gateway.statement import Kind, Statement
 from catkincrank.gateway.transactions import Transactions
 
-__all__ = ('Caller', 'SessionServer')
+__all__ = ('SessionServer',)
 
 # A connection that sends no startup request within this time is closed.
 _STARTUP_TIMEOUT_S = 5.0
@@ -30,57 +34,6 @@
 _FINAL_READ_S = 0.02
 
 
-@final
-class Caller:
-    """One caller's connection.
-
-    Args:
-        codec: Protocol of the connection.
-
-    Attributes:
-        codec: Protocol of the connection.
-        session: Its session, once startup has succeeded.
-        is_ending: Whether the session is closed as soon as it is idle.
-    """
-
-    __slots__ = ('_read_scope', 'codec', 'is_ending', 'session')
-
-    def __init__(self, codec: CallerCodec) -> None:
-        self.codec = codec
-        self.session: Session | None = None
-        self._read_scope: anyio.CancelScope | None = None
-        self.is_ending = False
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether no transaction is open; a failed one counts as open."""
-        session = self.session
-        return session is None or session.status is TransactionStatus.IDLE
-
-    async def read(
-        self,
-        limit_s: float | None,
-    ) -> Statement | Terminate | None:
-        """Return the next request.
-
-        Returns ``None`` when none arrives within ``limit_s``, or when ``end``
-        is called meanwhile.
-        """
-        with anyio.move_on_after(limit_s) as scope:
-            self._read_scope = scope
-            request = await self.codec.read_request()
-            self._read_scope = None
-            return request
-        self._read_scope = None
-        return None
-
-    def end(self) -> None:
-        """End the session once idle; a request already received is answered."""
-        self.is_ending = True
-        if self.is_idle and self._read_scope is not None:
-            self._read_scope.cancel()
-
-
 @final
 class SessionServer:
     """Accepts callers' connections and runs their statements.
@@ -91,6 +44,7 @@
         transactions: Runs transactions.
         log: Log of requests.
         codec: Protocol of the callers.
+        quotas: Limits the operations of organisations.
 
     Attributes:
         callers: Open connections.
@@ -100,6 +54,7 @@
         '_codec',
         '_execution',
         '_groups',
+        '_key_check',
         '_log',
         '_transactions',
         'callers',
@@ -112,13 +67,16 @@
         transactions: Transactions,
         log: RequestLog,
         codec: type[CallerCodec],
+        quotas: Quotas = UNLIMITED,
     ) -> None:
         self._groups = groups
         self._execution = execution
         self._transactions = transactions
         self._log = log
         self._codec = codec
+        self._key_check = KeyCheck(groups, transactions, quotas, log)
         self.callers: set[Caller] = set()
+        groups.listen(self.end_revoked)
 
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection until it ends."""
@@ -141,30 +99,42 @@
         for caller in tuple(self.callers):
             caller.end()
 
+    def end_revoked(self) -> None:
+        """End the sessions whose key the configuration no longer has."""
+        self._key_check.review(tuple(self.callers))
+
     async def _serve_session(self, caller: Caller) -> None:
         with anyio.move_on_after(_STARTUP_TIMEOUT_S):
             startup = await caller.codec.read_startup()
-            if await self._admit(caller, startup):
-                caller.session = Session(startup.database, startup.credential)
+            caller.session = await self._open_session(caller, startup)
         if caller.session is None:
             return
         await caller.codec.send_ready()
-        while True:
+        while not caller.session.is_denied:
             request = await self._await_request(caller)
             if request is None or isinstance(request, Terminate):
                 return
+            caller.is_answering = True
             reply = await self._answer(caller.session, request)
             await caller.codec.send(reply)
+            caller.is_answering = False
 
-    async def _admit(self, caller: Caller, startup: Startup | None) -> bool:
+    async def _open_session(
+        self, caller: Caller, startup: Startup | None
+    ) -> Session | None:
+        """Return the session of a caller, or reject the caller."""
         if startup is None:
             await caller.codec.send_rejection(Failure.MALFORMED)
-            return False
-        if self._find_route(startup.database) is None:
-            self._log.record_unknown_database(startup.database)
+            return None
+        route = self._find_route(startup.database)
+        if route is None:
+            self._key_check.record_unknown_database(startup.database)
             await caller.codec.send_rejection(Failure.UNKNOWN_DATABASE)
-            return False
-        return True
+            return None
+        session = self._key_check.open_session(startup, route)
+        if session is None:
+            await caller.codec.send_rejection(Failure.DENIED)
+        return session
 
     async def _await_request(
         self,
@@ -172,28 +142,40 @@
     ) -> Statement | Terminate | None:
         """Return the next request; ``None`` to end the session.
 
-        A transaction that exceeds the idle limit is rolled back meanwhile.
+        A transaction that exceeds a limit is rolled back meanwhile.
         """
-        while True:
-            limit_s = self._idle_limit(caller.session)
-            is_ending = caller.is_ending and caller.is_idle
-            request = await caller.read(_FINAL_READ_S if is_ending else limit_s)
-            if request is not None or is_ending:
+        session = caller.session
+        since = anyio.current_time()
+        while not caller.is_ending:
+            request = await caller.read(self._find_deadline(session, since))
+            if request is not None:
                 return request
-            if limit_s is not None:
-                await self._abort_idle_transaction(caller.session)
-
-    def _idle_limit(self, session: Session) -> float | None:
-        is_open = session.status is TransactionStatus.OPEN
-        if not is_open or self._groups.catalog is None:
-            return None
-        return self._groups.catalog.transaction_idle_s
+            if anyio.current_time() >= self._find_deadline(session, since):
+                if session.status is TransactionStatus.FAILED:
+                    return None
+                await self._abort_idle_transaction(session)
+        return await caller.read(anyio.current_time() + _FINAL_READ_S)
+
+    def _find_deadline(self, session: Session, since: float) -> float:
+        """Return when the wait for a request that began at ``since`` ends."""
+        transaction = session.transaction
+        if transaction is None or self._groups.catalog is None:
+            return math.inf
+        idle_s = self._groups.catalog.transaction_idle_s
+        if session.status is TransactionStatus.OPEN:
+            return min(since + idle_s, transaction.expires_at)
+        # The caller may still ask for the outcome of a transaction that was
+        # rolled back because its key was withdrawn.
+        return max(since, transaction.expires_at) + idle_s
 
     async def _abort_idle_transaction(self, session: Session) -> None:
         transaction = session.transaction
         if transaction is None:
             return
-        self._log.record_idle_transaction(session)
+        if anyio.current_time() >= transaction.expires_at:
+            self._log.record_revoked_transaction(session)
+        else:
+            self._log.record_idle_transaction(session)
         await self._transactions.abandon(transaction)
         session.fail_transaction()
 
@@ -210,18 +192,22 @@
         return reply
 
     async def _run(self, session: Session, statement: Statement) -> Reply:
+        transaction = session.transaction
+        route = self._find_route(session.database)
+        if transaction is not None:
+            route = route or transaction.route
+            if statement.kind is not Kind.ROLLBACK:
+                await self._key_check.check_transaction(session, route)
         local = answer_locally(session, statement)
         if local is not None:
             return local
         if statement.kind is Kind.ROLLBACK:
             return await self._transactions.roll_back(session)
-        transaction = session.transaction
-        if transaction is None:
-            route = self._find_route(session.database)
-            if route is None:
-                return refuse(Failure.UNKNOWN_DATABASE, session.status)
-        else:
-            route = transaction.route
+        if transaction is not None:
+            return await self._run_on(transaction.route, session, statement)
+        if route is None:
+            return refuse(Failure.UNKNOWN_DATABASE, session.status)
+        await self._key_check.admit_operation(session, route)
         return await self._run_on(route, session, statement)
 
     async def _run_on(
--- a/catkincrank/gateway/transactions.py
+++ b/catkincrank/gateway/transactions.py
@@ -77,26 +77,17 @@
                 Failure.READ_ONLY,
                 'write in a read-only transaction',
             )
-        deadline = anyio.current_time() + route.timeout_s
-        try:
-            reply = await self._run_placed(
-                session, transaction, route, statement, deadline
-            )
-        except EndpointError as error:
-            transaction.close_link()
-            session.fail_transaction()
-            raise StatementFailed(Failure.ABORTED, str(error)) from None
-        except StatementFailed:
-            transaction.close_link()
-            session.fail_transaction()
-            raise
-        if reply.refusal is not None:
+        with transaction.limit():
+            return await self._run_open(session, transaction, route, statement)
+        raise await self.revoke(session)
+
+    async def revoke(self, session: Session) -> StatementFailed:
+        """Roll back because the key was withdrawn; return the failure."""
+        transaction = session.transaction
+        session.end()
+        if transaction is not None:
             await self.abandon(transaction)
-            session.fail_transaction()
-            return _with_status(reply, session.status)
-        if session.writes(statement):
-            transaction.has_written = True
-        return _with_status(reply, session.status)
+        return session.deny(Failure.ABORTED)
 
     async def commit(
         self,
@@ -141,6 +132,34 @@
             await self._forwarder.roll_back(borrowed)
         borrowed.discard()
 
+    async def _run_open(
+        self,
+        session: Session,
+        transaction: Transaction,
+        route: Route,
+        statement: Statement,
+    ) -> Reply:
+        deadline = anyio.current_time() + route.timeout_s
+        try:
+            reply = await self._run_placed(
+                session, transaction, route, statement, deadline
+            )
+        except EndpointError as error:
+            transaction.close_link()
+            session.fail_transaction()
+            raise StatementFailed(Failure.ABORTED, str(error)) from None
+        except StatementFailed:
+            transaction.close_link()
+            session.fail_transaction()
+            raise
+        if reply.refusal is not None:
+            await self.abandon(transaction)
+            session.fail_transaction()
+            return _with_status(reply, session.status)
+        if session.writes(statement):
+            transaction.has_written = True
+        return _with_status(reply, session.status)
+
     async def _commit(
         self,
         session: Session,
