Replace keys by digests before rows of the configuration are passed on

Cause: processes pass each other the rows that they read from the store, so messages between them contained the callers' keys. Errors of the decoder named organisations instead of places, and a name in the wrong place may be a key. Change: rows of the configuration hold digests from the moment they are read from the store; a malformed document is passed on as the cause only. Faults name the place in the document. An empty key, which would admit callers without one, and a negative priority are refused; a key that one organisation has twice is accepted. `catkincrank check configuration FILE` lists these and faults of routes. The line of an accepted configuration counts organisations and keys.

--- a/catkincrank/commands/check.py
+++ b/catkincrank/commands/check.py
@@ -6,7 +6,8 @@
 
 import typer
 
-from catkincrank.commands.files import read_subtree
+from catkincrank.commands.files import read_file, read_subtree
+from catkincrank.errors import OptionError
 from catkincrank.options import parse_options
 from catkincrank.programs import load_program
 
@@ -30,6 +31,18 @@
         typer.echo('{0}: valid'.format(path))
 
 
+@app.command('configuration')
+def check_configuration(
+    file: Annotated[Path, typer.Argument(help='Configuration as JSON.')],
+) -> None:
+    """Validate a configuration of the users' platform for gateways."""
+    module, _ = load_program('gateway')
+    faults = module.DOCUMENTS.list_faults(read_file(file))
+    if faults:
+        raise OptionError(str(file), '; '.join(faults), 'a valid configuration')
+    typer.echo('{0}: valid'.format(file))
+
+
 @app.command('proxy', context_settings=_PASS_THROUGH)
 def check_proxy(context: typer.Context) -> None:
     """Validate the flags and environment variables of a proxy."""
--- a/catkincrank/gateway/configurator.py
+++ b/catkincrank/gateway/configurator.py
@@ -24,6 +24,7 @@
         config_key: Key of the configuration's row.
         roster_table: Table that holds the endpoint registrations.
         decode_catalog: Decodes the configuration.
+        conceal_keys: Replaces the keys in the configuration by digests.
         decode_entry: Decodes a registration; ``None`` if it is not usable.
     """
 
@@ -31,6 +32,7 @@
     config_key: str
     roster_table: str
     decode_catalog: Callable[[bytes], Catalog]
+    conceal_keys: Callable[[bytes], bytes]
     decode_entry: Callable[[str, bytes], EndpointEntry | None]
 
 
@@ -131,6 +133,8 @@
                 'configuration_accepted',
                 version=catalog.version,
                 routes=len(catalog.routes),
+                organisations=len(catalog.organisations or ()),
+                keys=len(catalog.keys),
                 row_version=str(row.revision),
             )
             self.divide_connections()
--- a/catkincrank/gateway/storetables.py
+++ b/catkincrank/gateway/storetables.py
@@ -16,6 +16,7 @@
 from catkincrank.gateway.fleetstate import FleetState
 from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.options import GatewayOptions
+from catkincrank.gateway.organisations.keyconcealment import KeyConcealment
 from catkincrank.gateway.resilience import run_restarting
 from catkincrank.gateway.rowstore import RowStore
 from catkincrank.gateway.tablecopy import TableCopy
@@ -71,7 +72,7 @@
     ) -> None:
         self.store = store
         self.config = TableCopy(
-            store,
+            KeyConcealment(store, schema.conceal_keys),
             schema.config_table,
             _CONFIG_WAIT_S,
             max_age_s=_PLATFORM_MAX_AGE_S,
--- a/catkincrank/platform/documents.py
+++ b/catkincrank/platform/documents.py
@@ -1,7 +1,7 @@
 """Decodes the operator's configuration and the endpoints' registrations."""
 
 import re
-from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import Any
 
 import msgspec
@@ -9,13 +9,18 @@
 from catkincrank.gateway.catalog import (
     Catalog,
     Consistency,
-    Organisation,
     Route,
     Service,
 )
-from catkincrank.gateway.organisations.keys import digest_key
 from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.logs import log_event
+from catkincrank.platform.tenants import (
+    Tenant,
+    convert_organisations,
+    list_repeated_keys,
+    list_tenant_faults,
+    map_keys,
+)
 
 __all__ = (
     'CONFIG_KEY',
@@ -23,6 +28,7 @@
     'ROSTER_TABLE',
     'decode_catalog',
     'decode_entry',
+    'list_faults',
 )
 
 CONFIG_TABLE = 'op'
@@ -38,6 +44,8 @@
 _MAX_PORT = 65535
 # The characters that a field of the session protocol allows.
 _IDENTIFIER = re.compile('[!-~]+')
+# Faults in the message of a refused configuration.
+_MAX_FAULTS = 3
 _STATES = frozenset(('ready', _DRAINING))
 _ROLES = {'primary': True, 'replica': False}  # noqa: WPS407
 
@@ -56,14 +64,6 @@
     public: bool = False
 
 
-class _Tenant(msgspec.Struct):
-    name: str
-    api_keys: list[str]
-    rate_per_s: float
-    burst: float
-    priority: int = 0
-
-
 class _Service(msgspec.Struct):
     name: str
     max_connections: int
@@ -79,7 +79,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] | None = None
+    tenants: list[Tenant] | None = None
 
 
 class _Registration(msgspec.Struct):
@@ -106,7 +106,13 @@
     Raises:
         ValueError: The body is malformed.
     """
+    if body.startswith(b'"'):
+        # The cause for which ``conceal_keys`` did not pass the document on.
+        raise ValueError(msgspec.json.decode(body, type=str))
     found = msgspec.json.decode(body, type=_Config)
+    faults = tuple(list_tenant_faults(found.tenants or ()))
+    if faults:
+        raise ValueError('; '.join(faults[:_MAX_FAULTS]))
     routes: dict[str, Route] = {}
     for route in found.routes:
         routes.setdefault(route.host, _convert_route(route))
@@ -119,11 +125,22 @@
         routes,
         services,
         found.limits.tx_idle_ms / _MS_PER_S,
-        _convert_organisations(found.tenants),
-        _digest_keys(found.tenants or ()),
+        convert_organisations(found.tenants),
+        map_keys(found.tenants or ()),
     )
 
 
+def list_faults(body: bytes) -> list[str]:
+    """Return the faults of a configuration with their places.
+
+    Some of them do not keep gateways from using it.
+    """
+    try:
+        return list(_find_faults(msgspec.json.decode(body, type=_Config)))
+    except (RecursionError, ValueError) as error:
+        return [str(error)]
+
+
 def decode_entry(endpoint_id: str, body: bytes) -> EndpointEntry | None:
     """Return a registration; ``None`` if it is malformed or unusable."""
     try:
@@ -138,6 +155,29 @@
     return None
 
 
+def _find_faults(found: _Config) -> Iterator[str]:
+    tenants = found.tenants or ()
+    yield from _list_route_faults(found)
+    yield from list_tenant_faults(tenants)
+    yield from list_repeated_keys(tenants)
+
+
+def _list_route_faults(found: _Config) -> Iterator[str]:
+    services = {service.name for service in found.services}
+    places: dict[str, str] = {}
+    for index, route in enumerate(found.routes):
+        place = '$.routes[{0}]'.format(index)
+        known = places.setdefault(route.host, place)
+        if known != place:
+            yield '{0}.host: the same as {1}.host'.format(place, known)
+        if route.type not in _CONSISTENCIES:
+            yield '{0}.type: unknown'.format(place)
+        if route.service not in services:
+            yield '{0}.service: not in $.services'.format(place)
+        if route.priority < 0:
+            yield '{0}.priority: negative'.format(place)
+
+
 def _convert_entry(endpoint_id: str, body: bytes) -> EndpointEntry:
     found = msgspec.json.decode(body, type=_Registration)
     host, _, port = found.address.rpartition(':')
@@ -176,32 +216,3 @@
         route.priority,
         route.public,
     )
-
-
-def _convert_organisations(
-    tenants: list[_Tenant] | None,
-) -> dict[str, Organisation] | None:
-    if tenants is None:
-        return None
-    organisations: dict[str, Organisation] = {}
-    for one in tenants:
-        if not _IDENTIFIER.fullmatch(one.name) or one.name in organisations:
-            raise ValueError('unusable name of an organisation')
-        if one.rate_per_s < 0 or one.burst < 0:
-            raise ValueError('negative limit of {0}'.format(one.name))
-        organisations[one.name] = Organisation(
-            one.name, one.rate_per_s, one.burst, one.priority
-        )
-    return organisations
-
-
-def _digest_keys(tenants: Iterable[_Tenant]) -> dict[bytes, str]:
-    keys: dict[bytes, str] = {}
-    for one in tenants:
-        for key in one.api_keys:
-            digest = digest_key(key.encode('utf-8'))
-            if keys.setdefault(digest, one.name) != one.name:
-                raise ValueError(
-                    'a key of {0} belongs to {1}'.format(one.name, keys[digest])
-                )
-    return keys
--- a/catkincrank/platform/program.py
+++ b/catkincrank/platform/program.py
@@ -6,7 +6,14 @@
 from typing import final
 
 from catkincrank.gateway.daemon import run_gateway
-from catkincrank.platform import callers, documents, endpoints, promotion, store
+from catkincrank.platform import (
+    callers,
+    documents,
+    endpoints,
+    promotion,
+    store,
+    tenants,
+)
 from catkincrank.platform.settings import SETTINGS_VARIABLE, read_settings
 
 __all__ = ('ADAPTER', 'DOCUMENTS', 'GatewayFlags', 'run')
@@ -24,6 +31,8 @@
     config_key=documents.CONFIG_KEY,
     roster_table=documents.ROSTER_TABLE,
     decode_catalog=documents.decode_catalog,
+    conceal_keys=tenants.conceal_keys,
+    list_faults=documents.list_faults,
     decode_entry=documents.decode_entry,
 )
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -98,6 +98,20 @@
     assert run('check', 'settings', str(path))[0] == 2
 
 
+def test_check_configuration_tells_the_place_of_a_fault(run, tmp_path):
+    path = tmp_path / 'configuration.json'
+    path.write_text('{"version": 1, "routes": [], "services": []}')
+    assert run('check', 'configuration', str(path))[0] == 0
+    path.write_text(
+        '{"version": 1, "routes": [], "services": [], "tenants": '
+        '[{"name": "", "api_keys": ["k1"], "rate_per_s": 1, "burst": 1}]}'
+    )
+    status, _, err = run('check', 'configuration', str(path))
+    assert (status, err.count('\n')) == (2, 1)
+    assert '$.tenants[0].name' in err
+    assert 'k1' not in err
+
+
 def test_unreachable_process_prints_one_line(run):
     status, _, err = run('state', '--admin', '127.0.0.1:1')
     assert (status, err.count('\n')) == (1, 1)
--- a/tests/test_gateway_storetables.py
+++ b/tests/test_gateway_storetables.py
@@ -16,7 +16,9 @@
 OPTIONS = GatewayOptions(
     'vm', 'zone', 'region', NOWHERE, NOWHERE, NOWHERE, NOWHERE, '', ''
 )
-DOCUMENTS = SimpleNamespace(config_table='op', roster_table='servers')
+DOCUMENTS = SimpleNamespace(
+    config_table='op', roster_table='servers', conceal_keys=bytes
+)
 # Round trip between regions plus processing at the peer, in seconds.
 ANSWER_S = 0.1
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -28,11 +28,16 @@
 from catkincrank.gateway.statement import Kind, Prepared, Statement
 from catkincrank.httpserver import HttpResponse, HttpServer
 from catkincrank.platform.callers import parse_statement
-from catkincrank.platform.documents import decode_catalog, decode_entry
+from catkincrank.platform.documents import (
+    decode_catalog,
+    decode_entry,
+    list_faults,
+)
 from catkincrank.platform.endpoints import LineDriver
 from catkincrank.platform.promotion import PlatformPromoter
 from catkincrank.platform.settings import read_settings
 from catkincrank.platform.store import PlatformStore
+from catkincrank.platform.tenants import conceal_keys
 from catkincrank.verdict import Verdict
 
 PACKAGE = Path(__file__).parent.parent / 'catkincrank'
@@ -157,22 +162,47 @@
     assert decode_entry('i-1', body) is None
 
 
+def _make_config(**changes):
+    route = {
+        'name': 'r',
+        'host': 'db',
+        'type': 'bounded_staleness',
+        'service': 'svc',
+        'timeout_ms': 800,
+        'target_latency_ms': 500,
+        'priority': 2,
+        'max_staleness_ms': 1500,
+        **changes,
+    }
+    return msgspec.json.encode(
+        {
+            'version': 7,
+            'routes': [route],
+            'services': [{'name': 'svc', 'max_connections': 23}],
+            'limits': {'tx_idle_ms': 2000},
+        },
+    )
+
+
 ORGANISATION = {'name': 'o', 'api_keys': ['k1'], 'rate_per_s': 5, 'burst': 5}
 
 
-def _decode_with_organisations(*organisations):
-    return decode_catalog(
-        msgspec.json.encode(
-            {
-                'version': 1,
-                'routes': [],
-                'services': [],
-                'tenants': organisations,
-            }
-        )
+def _encode_with_organisations(*organisations):
+    return msgspec.json.encode(
+        {
+            'version': 1,
+            'routes': [],
+            'services': [],
+            'tenants': organisations,
+            'later': {'a': [1, 'x']},
+        }
     )
 
 
+def _decode_with_organisations(*organisations):
+    return decode_catalog(_encode_with_organisations(*organisations))
+
+
 def test_keys_are_decoded_as_digests_only():
     catalog = _decode_with_organisations(ORGANISATION)
     assert catalog.organisations == {'o': Organisation('o', 5, 5)}
@@ -205,6 +235,92 @@
     assert 'k1' not in str(caught.value)
 
 
+def test_concealed_configuration_decodes_as_the_original():
+    """Guards against keys in the rows that processes pass each other."""
+    body = _encode_with_organisations(
+        ORGANISATION, {**ORGANISATION, 'name': 'p', 'api_keys': ['k2', 'k3']}
+    )
+    concealed = conceal_keys(body)
+    assert not any(key in concealed for key in (b'k1', b'k2', b'k3'))
+    assert msgspec.json.decode(concealed)['later'] == {'a': [1, 'x']}
+    assert decode_catalog(concealed) == decode_catalog(body)
+    assert conceal_keys(concealed) == concealed
+
+
+@pytest.mark.parametrize('body', [b'{}', _make_config(), b'{"tenants": null}'])
+def test_configuration_without_keys_is_passed_on_as_it_is(body):
+    assert conceal_keys(body).replace(b' ', b'') == body.replace(b' ', b'')
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'["SECRET"]',
+        b'"SECRET"',
+        b'{"tenants": {"SECRET": 1}}',
+        b'{"tenants": [{"api_keys": ["SECRET"',
+        b'{"tenants": [{"api_keys": ["SECRET"]}], "tenants": null}',
+        _encode_with_organisations({**ORGANISATION, 'api_keys': 'SECRET'}),
+        _encode_with_organisations({**ORGANISATION, 'api_keys': ['SECRET', 3]}),
+        _encode_with_organisations({**ORGANISATION, 'rate_per_s': 'SECRET'}),
+    ],
+)
+def test_malformed_configuration_is_passed_on_without_its_content(body):
+    concealed = conceal_keys(body)
+    assert b'SECRET' not in concealed
+    with pytest.raises(ValueError) as caught:
+        decode_catalog(concealed)
+    assert 'SECRET' not in str(caught.value)
+    assert 'SECRET' not in ''.join(list_faults(body))
+
+
+@pytest.mark.parametrize(
+    ('changes', 'fault'),
+    [
+        ({}, '$.tenants[1].name: the same as $.tenants[0].name'),
+        ({'name': ''}, '$.tenants[1].name: empty, or not printable ASCII'),
+        ({'rate_per_s': -1}, '$.tenants[1].rate_per_s: negative'),
+        ({'burst': -1}, '$.tenants[1].burst: negative'),
+        ({'priority': -1}, '$.tenants[1].priority: negative'),
+        ({'api_keys': None}, '$.tenants[1].api_keys: missing'),
+        ({'api_keys': ['k2', '']}, '$.tenants[1].api_keys[1]: empty'),
+        (
+            {'api_keys': ['k2', 'k1']},
+            '$.tenants[1].api_keys[1]: the same key as '
+            '$.tenants[0].api_keys[0]',
+        ),
+        (
+            {'api_keys': ['k2', 'k2']},
+            '$.tenants[1].api_keys[1]: the same key as '
+            '$.tenants[1].api_keys[0]',
+        ),
+        (
+            {'api_keys': ['k2', 2]},
+            'Expected `str`, got `int` - at `$.tenants[1].api_keys[1]`',
+        ),
+        ({'key_digests': ['x'], 'api_keys': None}, 'non-hexadecimal'),
+    ],
+    ids=str,
+)
+def test_faults_of_a_configuration_tell_the_place(changes, fault):
+    body = _encode_with_organisations(ORGANISATION, {**ORGANISATION, **changes})
+    assert any(fault in found for found in list_faults(body))
+
+
+@pytest.mark.parametrize(
+    ('changes', 'faults'),
+    [
+        ({}, []),
+        ({'type': 'eventual'}, ['$.routes[0].type: unknown']),
+        ({'service': 'x'}, ['$.routes[0].service: not in $.services']),
+        ({'priority': -1}, ['$.routes[0].priority: negative']),
+        ({'host': 3}, ['Expected `str`, got `int` - at `$.routes[0].host`']),
+    ],
+)
+def test_faults_of_a_route_tell_the_place(changes, faults):
+    assert list_faults(_make_config(**changes)) == faults
+
+
 @pytest.mark.parametrize('name', ['', 'i 1', 'i-\xe9', 'i\r\n1', 'i\x001'])
 def test_registration_with_invalid_identifier_is_skipped(name):
     assert decode_entry(name, msgspec.json.encode(ENTRY)) is None
@@ -240,28 +356,6 @@
     )
 
 
-def _make_config(**changes):
-    route = {
-        'name': 'r',
-        'host': 'db',
-        'type': 'bounded_staleness',
-        'service': 'svc',
-        'timeout_ms': 800,
-        'target_latency_ms': 500,
-        'priority': 2,
-        'max_staleness_ms': 1500,
-        **changes,
-    }
-    return msgspec.json.encode(
-        {
-            'version': 7,
-            'routes': [route],
-            'services': [{'name': 'svc', 'max_connections': 23}],
-            'limits': {'tx_idle_ms': 2000},
-        },
-    )
-
-
 def test_configuration_is_decoded():
     found = decode_catalog(_make_config())
     route = found.routes['db']
