Play keys that come and go in the trial of gateways

Cause: neither the stand-in platform nor `gateway-trial` had organisations. Change: endpoints of the stand-in record the name that a connection was opened with; the trial replaces a key every 2 s, callers use current and former keys, and the result counts requests that ran with a withdrawn key, refusals of valid keys, and names that are not the organisation's. The last are not yet a violation, since links are opened with the name of the process until pools follow the organisation. A session whose key was withdrawn is closed after 1 ms instead of 20 ms: callers that wait less than that for their next request got refusals instead of a new session.

--- a/catkincrank/gateway/sessionserver.py
+++ b/catkincrank/gateway/sessionserver.py
@@ -32,6 +32,9 @@
 # A request that arrives while an idle session is being closed is still
 # answered.
 _FINAL_READ_S = 0.02
+# A request of a session whose key was withdrawn is refused anyway. Waiting
+# longer would refuse requests of callers that could have reconnected first.
+_REVOKED_READ_S = 0.001
 
 
 @final
@@ -154,7 +157,8 @@
                 if session.status is TransactionStatus.FAILED:
                     return None
                 await self._abort_idle_transaction(session)
-        return await caller.read(anyio.current_time() + _FINAL_READ_S)
+        limit_s = _REVOKED_READ_S if session.is_revoked else _FINAL_READ_S
+        return await caller.read(anyio.current_time() + limit_s)
 
     def _find_deadline(self, session: Session, since: float) -> float:
         """Return when the wait for a request that began at ``since`` ends."""
--- a/catkincrank/platform/standin.py
+++ b/catkincrank/platform/standin.py
@@ -220,7 +220,8 @@
     """Serve one connection to an endpoint."""
     reader = LineReader(stream)
     codec = LineCodec(stream)
-    await reader.read()
+    _, _, name, *_ = (await reader.read()).split(b' ')
+    link.application = name.decode('ascii', 'replace')
     if not link.instance.is_up:
         await anyio.sleep_forever()
     await stream.send(b'READY I 1.0\r\n')
--- a/catkincrank/platform/trial.py
+++ b/catkincrank/platform/trial.py
@@ -1,8 +1,9 @@
 """Trial of gateways, callers and a stand-in platform in one process.
 
-A primary is killed and a gateway drains while callers read and write. The last
-line of output is the result as JSON; exit status 1 means that a write ran twice
-or that a refused write took effect.
+A primary is killed, a gateway drains, and keys come and go while callers read
+and write. The last line of output is the result as JSON; exit status 1 means
+that a write ran twice, that a refused write took effect, that a request ran
+with a withdrawn key, or that one was refused although its key was valid.
 """
 
 import itertools
@@ -22,7 +23,9 @@
 from catkincrank.platform.lines import LineReader
 from catkincrank.platform.program import ADAPTER, DOCUMENTS
 from catkincrank.platform.standin import PlatformStandIn
+from catkincrank.standins.keyrotation import KeyRotation
 from catkincrank.standins.memoryendpoints import MemoryEndpointGroup
+from catkincrank.standins.memorylink import Run
 
 __all__ = (
     'ENDPOINTS',
@@ -50,7 +53,16 @@
 _RECONNECT_DELAY_S = 0.2
 _CONNECTIONS = 23
 _TIMEOUT_MS = 800
+_ROTATION_INTERVAL_S = 2.0
+_ORGANISATIONS = ('org-a', 'org-b', 'org-c')
+_FORMER_KEY_SHARE = 0.1
 _VIOLATION_STATUS = 1
+_VIOLATIONS = (
+    'doubled',
+    'refused_but_kept',
+    'ran_without_key',
+    'denied_wrongly',
+)
 _DIGITS = 3
 _ID_BITS = 64
 
@@ -66,6 +78,7 @@
         callers: Number of callers.
         port: First of the ports that gateways listen on.
         seed: Random seed of the load.
+        keys: Whether callers need keys, which come and go.
     """
 
     name: str = 'trial'
@@ -73,18 +86,37 @@
     callers: int = 12
     port: int = 17400
     seed: int = 1
+    keys: bool = True
 
 
 @final
 class _AnswerCounts:
-    """Counts the answers that callers received."""
+    """Counts the answers that callers received.
 
-    def __init__(self) -> None:
+    Args:
+        rotation: Keys of the callers; ``None`` if they need none.
+    """
+
+    def __init__(self, rotation: KeyRotation | None) -> None:
+        self.rotation = rotation
+        self.keys: dict[bytes, str] = {}
+        self.denied = 0
+        self.denied_wrongly = 0
         self.served = 0
         self.refused: set[bytes] = set()
         self.in_doubt = 0
         self.write_answer_times: list[float] = []
 
+    def record_denial(self, key: str, sent_at: float) -> None:
+        """Record that a session or statement was refused for its key."""
+        self.denied += 1
+        rotation = self.rotation
+        is_allowed = rotation is not None and (
+            rotation.holdings[key].may_be_denied(sent_at)
+            or rotation.holdings[key].may_be_denied(anyio.current_time())
+        )
+        self.denied_wrongly += not is_allowed
+
     def record(
         self, request_id: bytes, answer: bytes, *, is_write: bool
     ) -> None:
@@ -107,20 +139,41 @@
     """
     group = MemoryEndpointGroup(SERVICE, ENDPOINTS)
     platform = PlatformStandIn({SERVICE: group})
-    counts = _AnswerCounts()
+    source = random.Random(flags.seed)
+    rotation = None
+    if flags.keys:
+        rotation = KeyRotation(_ORGANISATIONS, source, anyio.current_time())
+    counts = _AnswerCounts(rotation)
     async with anyio.create_task_group() as tasks:
         await tasks.start(platform.run)
-        platform.rows.write(CONFIG_TABLE, [], {CONFIG_KEY: make_config()})
+        _write_config(platform, 1, rotation)
         gateways = await _start_gateways(flags, platform, tasks)
         await _run_with_faults(flags, group, platform, gateways, counts)
         tasks.cancel_scope.cancel()
     outcome = _summarise(counts, platform)
     line = msgspec.json.encode(outcome).decode('ascii')
     sys.stdout.write('{0}\n'.format(line))
-    if outcome['doubled'] or outcome['refused_but_kept']:
+    if any(outcome[name] for name in _VIOLATIONS):
         sys.exit(_VIOLATION_STATUS)
 
 
+def _write_config(
+    platform: PlatformStandIn, version: int, rotation: KeyRotation | None
+) -> None:
+    organisations = rotation and rotation.list_organisations()
+    body = make_config(version, organisations=organisations)
+    platform.rows.write(CONFIG_TABLE, [], {CONFIG_KEY: body})
+
+
+async def _rotate_keys(
+    platform: PlatformStandIn, rotation: KeyRotation
+) -> None:
+    for version in itertools.count(2):
+        await anyio.sleep(_ROTATION_INTERVAL_S)  # noqa: WPS476
+        rotation.rotate(anyio.current_time())
+        _write_config(platform, version, rotation)
+
+
 async def _run_with_faults(
     flags: TrialFlags,
     group: MemoryEndpointGroup,
@@ -132,6 +185,8 @@
     async with anyio.create_task_group() as callers:
         for number in range(flags.callers):
             callers.start_soon(_run_caller, flags, number, counts)
+        if counts.rotation is not None:
+            callers.start_soon(_rotate_keys, platform, counts.rotation)
         await anyio.sleep(flags.seconds * _KILL_AT_SHARE)
         group.newest_primary.is_up = False
         platform.register_all()
@@ -205,10 +260,17 @@
 ) -> None:
     reader = LineReader(stream)
     database = source.choice(tuple(ROUTES))
-    await stream.send(b'STARTUP %b caller\r\n' % database.encode('ascii'))
-    await reader.read()
-    while True:
+    key = 'caller'
+    if counts.rotation is not None:
+        key = counts.rotation.choose_key(_FORMER_KEY_SHARE)
+    sent_at = anyio.current_time()
+    startup = 'STARTUP {0} {1}\r\n'.format(database, key)
+    await stream.send(startup.encode('ascii'))
+    answer = await reader.read()
+    while not answer.startswith(b'ERROR DENIED'):
         request_id = b'%016x' % source.getrandbits(_ID_BITS)
+        counts.keys[request_id] = key
+        sent_at = anyio.current_time()
         is_write = source.random() < _WRITE_SHARE
         text = b'WRITE k v' if is_write else b'READ k'
         await stream.send(b'QUERY %b %b\r\n' % (request_id, text))
@@ -218,6 +280,7 @@
         await reader.read()
         counts.record(request_id, answer, is_write=is_write)
         await anyio.sleep(source.uniform(0, _MAX_PAUSE_S))
+    counts.record_denial(key, sent_at)
 
 
 def _summarise(
@@ -238,6 +301,29 @@
         'write_gap_s': round(max(gaps, default=0), _DIGITS),
         'promotions': len(platform.promotions),
         'replica_share': round(at_replicas / max(1, len(reads)), _DIGITS),
+        'denied': counts.denied,
+        'denied_wrongly': counts.denied_wrongly,
+        **_judge_runs(counts, platform.runs),
+    }
+
+
+def _judge_runs(counts: _AnswerCounts, runs: list[Run]) -> dict[str, int]:
+    """Compare the names and times at endpoints with the callers' keys."""
+    rotation = counts.rotation
+    if rotation is None:
+        return {'ran_without_key': 0, 'misnamed': 0}
+    judged = [
+        (run, rotation.holdings[counts.keys[run.request_id]])
+        for run in runs
+        if run.request_id in counts.keys
+    ]
+    return {
+        'ran_without_key': sum(
+            not holding.may_run(run.at) for run, holding in judged
+        ),
+        'misnamed': sum(
+            run.application != holding.organisation for run, holding in judged
+        ),
     }
 
 
@@ -245,6 +331,7 @@
     version: int = 1,
     connections: int = _CONNECTIONS,
     timeout_ms: int = _TIMEOUT_MS,
+    organisations: list[dict[str, Any]] | None = None,
 ) -> bytes:
     """Return a configuration with a route of each type.
 
@@ -252,9 +339,13 @@
         version: Version of the configuration.
         connections: Connection limit of each endpoint.
         timeout_ms: Time limit of a statement, in milliseconds.
+        organisations: Organisations with their keys; ``None`` if callers need
+            no keys.
     """
+    optional = {} if organisations is None else {'tenants': organisations}
     return msgspec.json.encode(
         {
+            **optional,
             'version': version,
             'routes': [
                 {
--- a/catkincrank/standins/memorylink.py
+++ b/catkincrank/standins/memorylink.py
@@ -42,9 +42,11 @@
         term: Term of the endpoint.
         transaction: Number of the transaction on the connection; 0 if none.
         was_primary: Whether the endpoint was primary at that time.
+        application: Name that the connection was opened with.
     """
 
     __slots__ = (
+        'application',
         'at',
         'endpoint_id',
         'is_in_transaction',
@@ -61,6 +63,7 @@
     def __init__(self, link: 'MemoryLink', statement: Statement) -> None:
         self.endpoint_id = link.instance.endpoint_id
         self.link = link
+        self.application = link.application
         self.text = statement.text
         self.request_id = statement.request_id
         self.was_primary = link.instance.is_primary
@@ -80,8 +83,10 @@
         group: Group of the endpoint.
         instance: The endpoint.
         runs: List to which statements are appended.
+        application: Name that the connection is opened with.
 
     Attributes:
+        application: That name.
         transactions: Number of transactions begun on the connection.
     """
 
@@ -90,8 +95,10 @@
         group: MemoryEndpointGroup,
         instance: MemoryEndpoint,
         runs: list[Run],
+        application: str = '',
     ) -> None:
         self.instance = instance
+        self.application = application
         self.values: dict[bytes, bytes] = {}
         self.prepared: dict[Prepared, bytes] = {}
         self.set_values: dict[bytes, bytes] = {}
@@ -292,4 +299,4 @@
             raise LinkRefusedError(Failure.OVERLOADED, 'too many connections')
         if not instance.is_up:
             await anyio.sleep(_FOREVER_S)
-        return MemoryLink(group, instance, self._runs)
+        return MemoryLink(group, instance, self._runs, application)
