--- a/catkincrank/platform/standin.py
+++ b/catkincrank/platform/standin.py
@@ -221,7 +221,7 @@
     reader = LineReader(stream)
     codec = LineCodec(stream)
     startup = (await reader.read()).split(b' ')
-    link.name = startup[2].decode('ascii')
+    link.name = startup[2].decode('ascii', 'replace')
     if not link.instance.is_up:
         await anyio.sleep_forever()
     await stream.send(b'READY I 1.0\r\n')
--- a/catkincrank/standins/memorylink.py
+++ b/catkincrank/standins/memorylink.py
@@ -42,9 +42,11 @@
         term: Term of the endpoint.
         transaction: Number of the transaction on the connection; 0 if none.
         was_primary: Whether the endpoint was primary at that time.
+        application: Name that the connection was opened with.
     """
 
     __slots__ = (
+        'application',
         'at',
         'endpoint_id',
         'is_in_transaction',
@@ -61,6 +63,7 @@
     def __init__(self, link: 'MemoryLink', statement: Statement) -> None:
         self.endpoint_id = link.instance.endpoint_id
         self.link = link
+        self.application = link.name
         self.text = statement.text
         self.request_id = statement.request_id
         self.was_primary = link.instance.is_primary
--- a/tests/test_organisation_links.py
+++ b/tests/test_organisation_links.py
@@ -22,6 +22,7 @@
 from catkincrank.gateway.placement import PlacementRequest
 from catkincrank.gateway.reply import Failure
 from catkincrank.gateway.roster import EndpointEntry
+from catkincrank.gateway.session import Session
 from catkincrank.gateway.statement import Prepared
 from catkincrank.links import LinkClosedError
 from catkincrank.metrics import Metrics
@@ -37,6 +38,18 @@
     EndpointEntry('i-{0}'.format(one), 'svc', '10.0.1.1', 80, 'z', 3)
     for one in range(3)
 ]
+NAMES = ('x', 'y', 'old', 'new', *map('o{0}'.format, range(100)))
+# Every name is the digest of a key of its organisation.
+CATALOG_WITH_KEYS = dataclasses.replace(
+    CATALOG,
+    version=CATALOG.version + 1,
+    routes={
+        database: dataclasses.replace(route, is_public=True)
+        for database, route in ROUTES.items()
+    },
+    organisations={name: Organisation(name, 1, 1) for name in NAMES},
+    keys={name.encode(): name for name in NAMES},
+)
 
 
 class SlowDriver(MemoryDriver):
@@ -163,10 +176,15 @@
         assert run.link.name == organisations[run.request_id], run.text
 
 
+def open_session(path, organisation, database='strong'):
+    """Open a session with the key of an organisation, or without a key."""
+    path.groups.accept(CATALOG_WITH_KEYS)
+    return Session(database, organisation.encode(), organisation)
+
+
 async def run_session(path, organisations, organisation, *texts):
     """Run a script; record its requests; return the failures."""
-    session = path.open('strong')
-    session.organisation = organisation
+    session = open_session(path, organisation)
     failures = []
     for text in texts:
         number = path._request_count + 1
@@ -367,8 +385,7 @@
 
     async def scenario(path):
         organisations = {}
-        session = path.open('strong')
-        session.organisation = 'old'
+        session = open_session(path, 'old')
         organisations = {b'1': 'old', b'2': 'old'}
         for text in (b'BEGIN', b'WRITE k v'):
             await path.run_statement(session, text)
@@ -547,8 +564,7 @@
         )
         seen = {}
         for organisation in map('o{0}'.format, range(8)):
-            session = path.open('bounded')
-            session.organisation = organisation
+            session = open_session(path, organisation, 'bounded')
             for _ in range(6):
                 await path.run_statement(session, b'READ k')
                 await anyio.sleep(0.01)
@@ -557,7 +573,7 @@
         assert all(len(each) == 1 for each in seen.values())
         (busy,) = seen['o0']
         path.group.instances[busy].work_s = 0.2
-        session.organisation = 'o0'
+        session = open_session(path, 'o0', 'bounded')
         for _ in range(8):
             await path.run_statement(session, b'READ k')
         assert {run.endpoint_id for run in path.runs} - {busy}
