Add limits on the operations of organisations that all VMs keep together

Cause: an organisation's operations were not limited; no VM knows what the others admit. Change: the holder of the failover lease divides each limit into shares that expire; VMs admit by their shares, and get tokens for single operations.

--- a/catkincrank/gateway/assembly.py
+++ b/catkincrank/gateway/assembly.py
@@ -9,6 +9,8 @@
 from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.linkprovider import LinkProvider
 from catkincrank.gateway.options import GatewayOptions
+from catkincrank.gateway.organisations.quotamessages import QuotaReport
+from catkincrank.gateway.organisations.quotas import Quotas
 from catkincrank.gateway.peermessages import (
     ChangeNotice,
     ReachQuery,
@@ -24,6 +26,7 @@
 from catkincrank.gateway.resilience import run_restarting
 from catkincrank.gateway.revocation import Revocation
 from catkincrank.gateway.storetables import StoreTables
+from catkincrank.metrics import Metrics
 
 __all__ = ('Adapter', 'FailoverComponents')
 
@@ -54,15 +57,17 @@
         groups: Local state of the groups.
         tables: Local copies of the store's tables.
         link_provider: Provides connections to endpoints.
+        metrics: Metrics of the process.
 
     Attributes:
         lease: Lease on the failover duty.
         monitor: Monitors the primaries.
         relay: Exchanges readings of the store's tables with peers.
         peers: Answers requests of peers.
+        quotas: Admits operations by the limits of organisations.
     """
 
-    __slots__ = ('_address', 'lease', 'monitor', 'peers', 'relay')
+    __slots__ = ('_address', 'lease', 'monitor', 'peers', 'quotas', 'relay')
 
     def __init__(
         self,
@@ -71,6 +76,7 @@
         groups: Groups,
         tables: StoreTables,
         link_provider: LinkProvider,
+        metrics: Metrics,
     ) -> None:
         self._address = options.peers
         fleet = tables.fleet_state
@@ -102,12 +108,16 @@
             ),
             client,
         )
+        # Links of its own, so that a report does not wait for a long answer to
+        # another question.
+        self.quotas = Quotas(groups, fleet, self.lease, PeerClient(), metrics)
         self.peers = PeerServer()
         self.peers.handle(RevokeRequest, revocation.answer)
         self.peers.handle(RecallRequest, revocation.answer_recall)
         self.peers.handle(TableQuery, self.relay.answer)
         self.peers.handle(ChangeNotice, self.relay.answer_notice)
         self.peers.handle(ReachQuery, self.monitor.answer)
+        self.peers.handle(QuotaReport, self.quotas.answer)
 
     async def run(self) -> None:
         """Run until cancelled."""
@@ -118,5 +128,6 @@
                 ('lease', self.lease),
                 ('monitor', self.monitor),
                 ('relay', self.relay),
+                ('quotas', self.quotas),
             ):
                 tasks.start_soon(run_restarting, name, part.run)
--- a/catkincrank/gateway/daemon.py
+++ b/catkincrank/gateway/daemon.py
@@ -67,15 +67,16 @@
         self.carrier_service = CarrierService(
             self.groups, self.link_provider.direct_pools, self.metrics
         )
-        self.session_server = make_session_server(
-            options, adapter, self.groups, self.link_provider, self.metrics
-        )
         self.failover = FailoverComponents(
             options,
             adapter.promoter,
             self.groups,
             self.tables,
             self.link_provider,
+            self.metrics,
+        )
+        self.session_server = make_session_server(
+            options, adapter, self.groups, self.link_provider, self.metrics
         )
         self.failover.peers.serve(CarryRequest, self.carrier_service.open)
         self.drain = Drain(
--- a/catkincrank/gateway/failoverlease.py
+++ b/catkincrank/gateway/failoverlease.py
@@ -58,6 +58,8 @@
         may_confirm: Whether what is known of the groups from before the store
             was restored is complete, so that their rows may be confirmed.
         knows_all: Whether no other process held the lease just before that.
+        is_first: Whether no process held the lease before.
+        taken_at: When the last takeover was known to have been written.
     """
 
     __slots__ = (
@@ -72,9 +74,11 @@
         '_takeover',
         '_taken_over',
         'held',
+        'is_first',
         'is_settled',
         'knows_all',
         'may_confirm',
+        'taken_at',
     )
 
     def __init__(
@@ -98,12 +102,22 @@
         self.is_settled = False
         self.may_confirm = False
         self.knows_all = False
+        self.is_first = False
+        self.taken_at: float = 0
 
     @property
     def token(self) -> int:
         """Fencing token; 0 while this process does not hold the lease."""
         return 0 if self.held is None else self.held.token
 
+    @property
+    def confirmed_at(self) -> float:
+        """When the last heartbeat that the store confirmed was sent.
+
+        Any later takeover was written after that time.
+        """
+        return self._confirmed_at
+
     @property
     def is_held(self) -> bool:
         """Whether this process holds the lease, as far as it knows."""
@@ -207,6 +221,8 @@
         """Act as the holder after a takeover."""
         held = takeover.held
         self.held = held
+        self.is_first = takeover.is_first
+        self.taken_at = anyio.current_time()
         self.is_settled = False
         self.may_confirm = False
         log_event('duty_taken', token=held.token, era=held.revision.era)
--- a/catkincrank/gateway/statusserver.py
+++ b/catkincrank/gateway/statusserver.py
@@ -138,6 +138,7 @@
             }
             for service, (_, record) in fleet.records.items()
         },
+        'quotas': gateway.failover.quotas.describe(),
         'pools': [
             dataclasses.asdict(pool)
             for pool in gateway.link_provider.list_pools()
--- a/catkincrank/gateway/takeover.py
+++ b/catkincrank/gateway/takeover.py
@@ -44,6 +44,7 @@
         is_first_of_era: Whether the holder before is of an earlier era.
         is_continued: Whether this process held the lease in the earlier era
             until the store was restored.
+        is_first: Whether no process held the lease before.
     """
 
     held: HeldLease
@@ -51,6 +52,7 @@
     heartbeat_at: float
     is_first_of_era: bool
     is_continued: bool
+    is_first: bool = False
 
 
 @final
@@ -173,6 +175,8 @@
             heartbeat_at,
             is_first_of_era=era < held.revision.era,
             is_continued=is_continued,
+            # A copy from before the first takeover lacks the holder's row too.
+            is_first=previous is None and not held.revision.era,
         )
 
     async def _write(
--- a/catkincrank/schema/control.capnp
+++ b/catkincrank/schema/control.capnp
@@ -31,6 +31,8 @@
     carryReply @21 :CarryReply;
     recallRequest @22 :RecallRequest;
     recallReply @23 :RecallReply;
+    quotaReport @24 :QuotaReport;
+    quotaAllocation @25 :QuotaAllocation;
   }
 }
 
@@ -280,3 +282,37 @@
   isFull @8 :Bool;
   isDeclined @9 :Bool;
 }
+
+struct OrganisationUse {
+  organisation @0 :Text;
+  demand @1 :Float64;
+  wanted @2 :UInt32;
+  share @3 :Float64;
+  lifetimeS @4 :Float64;
+  token @5 :UInt64;
+  sequence @6 :UInt64;
+}
+
+struct QuotaReport {
+  name @0 :Text;
+  incarnation @1 :Text;
+  token @2 :UInt64;
+  sequence @3 :UInt64;
+  isWhole @4 :Bool;
+  uses @5 :List(OrganisationUse);
+  isUrgent @6 :Bool;
+}
+
+struct OrganisationShare {
+  organisation @0 :Text;
+  share @1 :Float64;
+  tokens @2 :UInt32;
+  isExhausted @3 :Bool;
+}
+
+struct QuotaAllocation {
+  token @0 :UInt64;
+  sequence @1 :UInt64;
+  lifetimeS @2 :Float64;
+  shares @3 :List(OrganisationShare);
+}
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -5,6 +5,7 @@
 from catkincrank import envelope, messages
 from catkincrank.errors import MessageError
 from catkincrank.gateway import carriermessages, peermessages
+from catkincrank.gateway.organisations import quotamessages
 from catkincrank.gateway.position import Position
 from catkincrank.gateway.statement import Prepared
 from catkincrank.history import History, TermStart
@@ -118,6 +119,26 @@
     'reachQuery': peermessages.ReachQuery('svc', 'i-1'),
     'reachReply': peermessages.ReachReply(True),
     'nudge': peermessages.ChangeNotice('vm1'),
+    'quotaReport': quotamessages.QuotaReport(
+        'vm1',
+        '4f1c8a2e',
+        1 << 41,
+        7,
+        True,
+        (
+            quotamessages.OrganisationUse('o', 2.5, 3, 0.25, 9.5, 1 << 41, 6),
+            quotamessages.OrganisationUse('p', 0),
+        ),
+    ),
+    'quotaAllocation': quotamessages.QuotaAllocation(
+        1 << 41,
+        8,
+        10,
+        (
+            quotamessages.OrganisationShare('o', 0.25, 3),
+            quotamessages.OrganisationShare('p', is_exhausted=True),
+        ),
+    ),
     'settingsUpdate': messages.SettingsUpdate('t', 4, b'\0{}\xff', 'c1'),
 }
 
