Explain refusals by limits, and describe how limits are divided

Cause: an operator could not tell from the logs who had allocated a share, and the reasons for the waits after a takeover were written down nowhere.

--- a/catkincrank/commands/explain.py
+++ b/catkincrank/commands/explain.py
@@ -41,7 +41,8 @@
 
     Events are taken from the log files if any are given. Otherwise the last
     failover of the group is read from the journals of the processes in
-    ``--admin``.
+    ``--admin``. A request that was refused by an organisation's limit is shown
+    with the VM's share, its age and the process that allocated it.
     """
     if files:
         _print_log_lines(subject, files)
--- a/catkincrank/gateway/organisations/quotameasures.py
+++ b/catkincrank/gateway/organisations/quotameasures.py
@@ -109,10 +109,11 @@
         self._reports.labels(outcome).inc()
         if is_applied:
             self._holders = (holder, token)
-        if is_applied is not self.is_answered:
-            self.is_answered = is_applied
-            event = 'quota_answered' if is_applied else 'quota_unanswered'
-            self._write(event, holder=holder, token=token)
+        if is_applied and not self.is_answered:
+            self._write('quota_answered', holder=holder, token=token)
+        if self.is_answered and not is_applied:
+            self._write('quota_unanswered', holder=holder, token=token)
+        self.is_answered = is_applied
         self._show_demands()
 
     def record_malformed(self, sender: str, error: Exception) -> None:
--- a/catkincrank/logcorrelation.py
+++ b/catkincrank/logcorrelation.py
@@ -1,6 +1,7 @@
 """Correlates log lines of several processes to explain a failure."""
 
 import json
+import re
 from collections.abc import Iterable, Iterator
 from contextlib import suppress
 from dataclasses import dataclass
@@ -13,6 +14,13 @@
 # the failure: a replacement of the primary takes up to 6 s.
 _LOOKBACK_S = 8.0
 _LOOKAHEAD_S = 3.0
+# How a request that exceeds an organisation's limit is explained; the name of
+# the organisation follows.
+_LIMIT_CAUSE = re.compile(r'limit of (\S+): ')
+# Events of any process that change who divides the limits.
+_ALLOCATOR_EVENTS = frozenset(
+    ('duty_lost', 'duty_taken', 'quotas_known', 'quotas_taken')
+)
 _HEADER_FIELDS = frozenset(('time', 'level', 'event', 'source'))
 
 
@@ -51,7 +59,9 @@
 
     For a request, these also include events shortly before and after its
     failure: those of its group in all processes, and those of its own process
-    that concern no single group.
+    that concern no single group. For a request that an organisation's limit
+    refused, these are also the changes of the process that divides the limits,
+    and of the lines about organisations only those about that one.
     """
     ordered = sorted(lines, key=_get_time)
     own = [line for line in ordered if line.fields.get('request') == subject]
@@ -101,10 +111,21 @@
     if 'request' in line.fields:
         return False
     service = line.fields.get('service')
+    organisation = _find_limited(request)
+    if organisation and line.event in _ALLOCATOR_EVENTS:
+        return True
+    if line.fields.get('organisation', organisation) != organisation:
+        return False
     if service is not None:
         return service == request.fields.get('service')
     return line.source == request.source
 
 
+def _find_limited(request: LogLine) -> str | None:
+    """Return the organisation whose limit refused a request, if one did."""
+    found = _LIMIT_CAUSE.match(str(request.fields.get('cause', '')))
+    return found and found.group(1)
+
+
 def _get_time(line: LogLine) -> float:
     return line.at
--- a/tests/test_logcorrelation.py
+++ b/tests/test_logcorrelation.py
@@ -46,6 +46,25 @@
     assert found == [everything[index] for index in expected]
 
 
+def test_request_refused_by_a_limit_shows_who_divides_it():
+    """Guards against an explanation without the process that allocates."""
+    cause = 'limit of o: no token came in time; limit 5/s'
+    texts = [
+        _line(20, 'vm-1', 'duty_taken', token=2),
+        _line(20.1, 'vm-1', 'quotas_known', token=2),
+        _line(20.2, 'vm-2', 'quota_refused', organisation='o', holder='vm-1'),
+        _line(20.3, 'vm-2', 'quota_refused', organisation='p'),
+        _line(20.4, 'vm-3', 'quota_refused', organisation='o'),
+        _line(20.5, 'vm-2', 'request_refused', request='r1', cause=cause),
+        _line(20.6, 'vm-2', 'request_refused', request='r2', cause='slow'),
+    ]
+    everything = list(read_lines(texts))
+    found = correlate_lines(everything, 'r1')
+    assert found == [everything[index] for index in (0, 1, 2, 5)]
+    found = correlate_lines(everything, 'r2')
+    assert found == [everything[6]]
+
+
 @pytest.mark.parametrize(
     ('text', 'count'),
     [
