--- a/catkincrank/platform/documents.py
+++ b/catkincrank/platform/documents.py
@@ -16,6 +16,7 @@
 from catkincrank.logs import log_event
 from catkincrank.platform.tenants import (
     Tenant,
+    check_tenants,
     convert_organisations,
     list_repeated_keys,
     list_tenant_faults,
@@ -44,8 +45,6 @@
 _MAX_PORT = 65535
 # The characters that a field of the session protocol allows.
 _IDENTIFIER = re.compile('[!-~]+')
-# Faults in the message of a refused configuration.
-_MAX_FAULTS = 3
 _STATES = frozenset(('ready', _DRAINING))
 _ROLES = {'primary': True, 'replica': False}  # noqa: WPS407
 
@@ -110,9 +109,7 @@
         # The cause for which ``conceal_keys`` did not pass the document on.
         raise ValueError(msgspec.json.decode(body, type=str))
     found = msgspec.json.decode(body, type=_Config)
-    faults = tuple(list_tenant_faults(found.tenants or ()))
-    if faults:
-        raise ValueError('; '.join(faults[:_MAX_FAULTS]))
+    check_tenants(found.tenants or ())
     routes: dict[str, Route] = {}
     for route in found.routes:
         routes.setdefault(route.host, _convert_route(route))
--- a/catkincrank/platform/tenants.py
+++ b/catkincrank/platform/tenants.py
@@ -14,6 +14,7 @@
 
 __all__ = (
     'Tenant',
+    'check_tenants',
     'conceal_keys',
     'convert_organisations',
     'list_repeated_keys',
@@ -23,6 +24,8 @@
 
 # The characters that a field of the session protocol allows.
 _NAME = re.compile('[!-~]+')
+# Faults in the message of a refused configuration.
+_MAX_FAULTS = 3
 _NOT_NEGATIVE = ('rate_per_s', 'burst', 'priority')
 
 
@@ -59,6 +62,7 @@
     """
     try:
         outline = msgspec.json.decode(body, type=_Outline)
+        check_tenants(outline.tenants or ())
     except (RecursionError, ValueError) as error:
         return msgspec.json.encode(str(error))
     if outline.tenants is msgspec.UNSET:
@@ -96,6 +100,17 @@
     }
 
 
+def check_tenants(tenants: Sequence[Tenant]) -> None:
+    """Check the organisations of a configuration.
+
+    Raises:
+        ValueError: Names the places of the first faults.
+    """
+    faults = tuple(list_tenant_faults(tenants))
+    if faults:
+        raise ValueError('; '.join(faults[:_MAX_FAULTS]))
+
+
 def list_tenant_faults(tenants: Sequence[Tenant]) -> Iterator[str]:
     """Return the faults because of which a configuration is refused."""
     names: dict[str, str] = {}
