Promote an endpoint of a group that has neither a row nor a primary

Cause: a restored store lacked the group's row, no process remembered it, and its primary was restarted without its log. An endpoint whose promotion the platform ignores was also chosen again and again. Change: once the lease is settled and every registered endpoint has answered, with none leading the newest term for 3 s, the holder writes a marked record without a primary; the usual replacement then revokes, promotes and records. An endpoint that does not answer is waited for. Promotions without an effect count against an endpoint: at once among equal logs, after three before one with a shorter log. The lease's model (tests/test_restore_model.py) is unchanged: the record is written under the same conditions as every other.

--- a/catkincrank/gateway/fleetrecords.py
+++ b/catkincrank/gateway/fleetrecords.py
@@ -81,7 +81,8 @@
 
     Attributes:
         service: Name of the group.
-        primary: Identifier of the primary.
+        primary: Identifier of the primary; empty in a marked record if no
+            endpoint led the group.
         born_ms: Start of the primary's incarnation, in Unix milliseconds.
         term: Term of the primary.
         is_replacing: Whether the primary is being replaced, so that no grant
--- a/catkincrank/gateway/replacement.py
+++ b/catkincrank/gateway/replacement.py
@@ -8,6 +8,7 @@
 from catkincrank.errors import ConflictError, StoreUnavailableError
 from catkincrank.gateway.endpointprobe import EndpointProber
 from catkincrank.gateway.failoverlease import FailoverLease
+from catkincrank.gateway.firstprimary import FirstPrimary
 from catkincrank.gateway.fleetrecords import (
     FLEET_TABLE,
     GroupRecord,
@@ -61,6 +62,7 @@
     """
 
     __slots__ = (
+        '_first_primary',
         '_fleet',
         '_groups',
         '_lease',
@@ -93,38 +95,29 @@
         self._promoter = promoter
         self._relay = relay
         self._selection = Selection(groups, prober)
+        self._first_primary = FirstPrimary()
         # Row revision of each group's mark, while no endpoint can have been
         # promoted since.
         self._unpromoted_marks: dict[str, Revision] = {}
 
     async def record_first_primary(self, service: str) -> None:
-        """Record the primary of a group that has no row yet.
+        """Record the primary of a group that has no row.
 
-        An endpoint that was replaced may still report itself as the primary of
-        an earlier term.
+        If it has no primary either, a marked record is written, so that the
+        endpoint with the longest log is promoted.
         """
-        found = await self._selection.query_all(service)
-        newest_term = max(
-            (max(state.term, state.promised) for _, state in found), default=0
+        entries = self._groups.roster.of_service(service)
+        answers = await self._selection.query(entries)
+        record = self._first_primary.choose(
+            service,
+            len(entries),
+            answers,
+            self._lease.token,
+            anyio.current_time(),
+            may_mark=self._lease.is_settled,
         )
-        for entry, state in found:
-            if state.is_primary and state.term == newest_term:
-                record = GroupRecord(
-                    service,
-                    entry.endpoint_id,
-                    entry.born_ms,
-                    state.term,
-                    bases=(
-                        (
-                            state.term,
-                            state.received.term,
-                            state.received.number,
-                        ),
-                    ),
-                    era=self._fleet.era,
-                )
-                await self._write(record, ORIGIN)  # noqa: WPS476
-                return
+        if record is not None:
+            await self._write(record.confirm(self._fleet.era), ORIGIN)
 
     async def confirm_primary(self, service: str) -> None:
         """Confirm a group's row after the store was restored from a copy.
@@ -284,7 +277,10 @@
             if not error.may_have_applied:
                 await anyio.sleep(_RETRY_PAUSE_S)
                 return None
-        return await self._await_promotion(record, chosen)
+        promoted = await self._await_promotion(record, chosen)
+        if promoted is None:
+            self._selection.count_ineffective(record, entry)
+        return promoted
 
     async def _await_promotion(
         self,
--- a/catkincrank/gateway/selection.py
+++ b/catkincrank/gateway/selection.py
@@ -1,5 +1,7 @@
 """Selects the successor of a primary."""
 
+from collections import Counter
+from functools import partial
 from typing import final
 
 import anyio
@@ -19,6 +21,10 @@
 # Time limit for a replica to receive the whole log of a leaving primary.
 _CATCH_UP_LIMIT_S = 1.0
 _CATCH_UP_STEP_S = 0.03
+# The platform ignores the promotion of an endpoint that it takes for the
+# primary. After this many promotions without an effect, an endpoint with a
+# shorter log is chosen; the first ones may only have been slow.
+_MAX_INEFFECTIVE = 3
 
 
 @final
@@ -30,11 +36,21 @@
         prober: Queries endpoints.
     """
 
-    __slots__ = ('_groups', '_prober')
+    __slots__ = ('_groups', '_ineffective', '_prober')
 
     def __init__(self, groups: Groups, prober: EndpointProber) -> None:
         self._groups = groups
         self._prober = prober
+        # Promotions without an effect by service, term of the replaced primary
+        # and endpoint.
+        self._ineffective: Counter[tuple[str, int, str]] = Counter()
+
+    def count_ineffective(
+        self, record: GroupRecord, entry: EndpointEntry
+    ) -> None:
+        """Count a promotion that did not take effect in time."""
+        key = (record.service, record.term, entry.endpoint_id)
+        self._ineffective[key] += 1
 
     async def demote(self, record: GroupRecord) -> None:
         """Demote a group's primary if another endpoint can take over.
@@ -76,7 +92,7 @@
             return await self._choose_previous(record, found, may_keep=may_keep)
         if cause is Cause.LEAVING:
             return await self._catch_up(record, usable, found)
-        return max(usable, key=_received_of)
+        return max(usable, key=partial(self._rank, record))
 
     async def query_all(self, service: str) -> list[Candidate]:
         """Return the registered endpoints of a group that report a state."""
@@ -96,6 +112,15 @@
                 tasks.start_soon(query_one, entry)
         return found
 
+    def _rank(
+        self, record: GroupRecord, candidate: Candidate
+    ) -> tuple[bool, Position, int]:
+        """Return the preference for a successor; the greatest is chosen."""
+        entry, state = candidate
+        key = (record.service, record.term, entry.endpoint_id)
+        failed = self._ineffective[key]
+        return failed < _MAX_INEFFECTIVE, state.received, -failed
+
     async def _choose_previous(
         self,
         record: GroupRecord,
--- a/tests/test_gateway_restore.py
+++ b/tests/test_gateway_restore.py
@@ -291,3 +291,77 @@
     roster.put(_entry(9), 0)
     roster.drop('i-1', 1, 1)
     assert not roster.is_outdated(_entry(9), 1)
+
+
+async def _restart_primary(fleet):
+    """The primary has no log and is a replica; the others stay replicas."""
+    fleet.group.restart(fleet.group.instances['a'], 2)
+
+
+async def _restart_all_endpoints(fleet):
+    for one in fleet.group.instances.values():
+        fleet.group.restart(one, 2)
+
+
+async def _restart_promoted(fleet):
+    """The newest primary has no log; the one before still claims its term."""
+    fleet.group.promote('b')
+    fleet.group.instances['c'].term = 2
+    fleet.group.restart(fleet.group.instances['b'], 2)
+
+
+async def _demote_primary(fleet):
+    """It has the longest log, but the platform ignores its promotion."""
+    primary = fleet.group.instances['a']
+    for replica in ('b', 'c'):
+        fleet.group.instances[replica].lag_s = 100
+    fleet.group.commit(primary)
+    primary.is_primary = False
+
+
+@pytest.mark.parametrize(
+    ('fault', 'limit_s'),
+    [
+        (_restart_primary, REPLACEMENT_LIMIT_S),
+        (_restart_all_endpoints, REPLACEMENT_LIMIT_S),
+        (_restart_promoted, REPLACEMENT_LIMIT_S),
+        # Three promotions are waited for, 3 s each.
+        (_demote_primary, REPLACEMENT_LIMIT_S + 10),
+    ],
+)
+def test_a_group_without_a_row_and_a_primary_comes_back(fault, limit_s):
+    """Guards against a group that stays down (seed 3034 of the soak).
+
+    The copy lacks the group's row, no process remembers it, and no endpoint
+    leads its newest term.
+    """
+
+    async def scenario(fleet):
+        fleet.rows.is_down = True
+        await _restart_all(fleet)
+        await fault(fleet)
+        fleet.rows.restore(30)
+        fleet.rows.is_down = False
+        await anyio.sleep(limit_s)
+        granted = set(fleet.granted.values())
+        assert granted == {fleet.group.newest_primary.endpoint_id}
+        assert fleet.group.newest_primary.is_primary
+
+    assert _run(scenario).promotions
+
+
+def test_an_endpoint_that_may_be_the_primary_is_waited_for():
+    """Without a row, an endpoint that does not answer may lead the group."""
+
+    async def scenario(fleet):
+        fleet.rows.is_down = True
+        await _restart_all(fleet)
+        fleet.group.instances['a'].is_up = False
+        fleet.rows.restore(30)
+        fleet.rows.is_down = False
+        await anyio.sleep(30)
+        assert not any(fleet.granted.values())
+        fleet.group.instances['a'].is_up = True
+        await _wait_for_confirmed(fleet, 'a', RETURN_LIMIT_S)
+
+    assert not _run(scenario).promotions
