Handle SIGHUP and SIGTERM from the first import of a gateway on

Change: the package's first import ignores SIGHUP and ends the process with status 0 at SIGTERM, in gateways only. The event loop's handlers are replaced by these again without a gap. Before that import there is only the interpreter's own start.

--- a/catkincrank/__init__.py
+++ b/catkincrank/__init__.py
@@ -1,5 +1,7 @@
 """Database proxy with session consistency, as a library with thin daemons."""
 
+# First, as a signal during the other imports would end a gateway.
+import catkincrank.earlysignals  # noqa: F401, WPS301
 from catkincrank.history import History, LogMark
 from catkincrank.tokens import SessionToken, decode_token, encode_token
 from catkincrank.verdict import RequestError, Verdict
--- a/catkincrank/gateway/daemon.py
+++ b/catkincrank/gateway/daemon.py
@@ -1,6 +1,5 @@
 """The gateway process: components, start-up and shutdown."""
 
-import signal
 from typing import final
 
 import anyio
@@ -21,6 +20,7 @@
 from catkincrank.gateway.requestpath import make_session_server
 from catkincrank.gateway.resilience import run_restarting
 from catkincrank.gateway.rowstore import row_stores
+from catkincrank.gateway.signals import watch_signals
 from catkincrank.gateway.statusserver import StatusServer
 from catkincrank.gateway.storetables import StoreTables
 from catkincrank.logs import log_event
@@ -144,14 +144,5 @@
     """Run a gateway until a signal has stopped it."""
     async with anyio.create_task_group() as tasks:
         gateway = Gateway(options, adapter, schema, tasks)
-        tasks.start_soon(_watch_signals, gateway)
+        tasks.start_soon(watch_signals, gateway.drain)
         await gateway.run()
-
-
-async def _watch_signals(gateway: Gateway) -> None:
-    watched = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with anyio.open_signal_receiver(*watched) as received:
-        async for signum in received:
-            log_event('signal_received', signal=signum.name)
-            if signum is not signal.SIGHUP:
-                gateway.drain.start()
