--- a/catkincrank/gateway/fleetrecords.py
+++ b/catkincrank/gateway/fleetrecords.py
@@ -81,7 +81,8 @@
 
     Attributes:
         service: Name of the group.
-        primary: Identifier of the primary.
+        primary: Identifier of the primary; empty in a marked record if no
+            endpoint led the group.
         born_ms: Start of the primary's incarnation, in Unix milliseconds.
         term: Term of the primary.
         is_replacing: Whether the primary is being replaced, so that no grant
@@ -114,9 +115,11 @@
         """Return the record with the replacement mark set."""
         return msgspec.structs.replace(self, is_replacing=True)
 
-    def clear_replacing(self) -> 'GroupRecord':
-        """Return the record with the replacement mark cleared."""
-        return msgspec.structs.replace(self, is_replacing=False)
+    def clear_replacing(self, born_ms: int) -> 'GroupRecord':
+        """Return the record without the mark, for a start of the primary."""
+        return msgspec.structs.replace(
+            self, is_replacing=False, born_ms=born_ms
+        )
 
     def with_primary(
         self,
--- a/catkincrank/platform/tenants.py
+++ b/catkincrank/platform/tenants.py
@@ -27,6 +27,8 @@
 # Faults in the message of a refused configuration.
 _MAX_FAULTS = 3
 _NOT_NEGATIVE = ('rate_per_s', 'burst', 'priority')
+# Greatest priority that fits into the messages between gateways.
+_MAX_PRIORITY = 255
 
 
 class Tenant(msgspec.Struct):
@@ -124,6 +126,8 @@
         for limit in _NOT_NEGATIVE:
             if getattr(one, limit) < 0:
                 yield '{0}.{1}: negative'.format(place, limit)
+        if one.priority > _MAX_PRIORITY:
+            yield '{0}.priority: above {1}'.format(place, _MAX_PRIORITY)
         yield from _list_key_faults(one, place)
     for place, known, is_same_owner in _find_repetitions(tenants):
         if not is_same_owner:
