Bound who connects while an endpoint's carriers are avoided

A carrier was avoided for one late reply if the last one was more than 0.8 s ago, which grows likelier with the number of processes, as each asks more rarely; with all carriers avoided, every process connected itself, and opening the connections occupied the endpoints' slots. Change: silence counts only while requests are outstanding, and four members by rank take the place of avoided carriers. Measured: both new tests fail on the code before; tests of carriers and links pass.

--- a/catkincrank/gateway/carriers.py
+++ b/catkincrank/gateway/carriers.py
@@ -33,9 +33,14 @@
 # A carrier that is unreachable or leaving is retried after this time, for which
 # its row may remain in the table after it has stopped.
 _AVOIDANCE_S = 2.0
-# A carrier also reports when an endpoint is slow, and so replies several times
-# a second; one without any reply for this long is considered failed.
+# A carrier also reports when an endpoint is slow, so requests rarely time out.
+# One that left requests unanswered for this long in all, without a reply in
+# between, is considered failed.
 _MAX_SILENCE_S = 0.8
+# Members that take the place of an endpoint's carriers while all of them are
+# avoided. If every process connected itself, opening the connections would
+# occupy the endpoint's slots, and keep the carriers slow.
+_SUBSTITUTES = 4
 
 
 @final
@@ -59,7 +64,7 @@
 
 
 @final
-class Carriers:
+class Carriers:  # noqa: WPS214
     """Chooses the carriers of each endpoint.
 
     Args:
@@ -69,12 +74,12 @@
 
     __slots__ = (
         '_avoided_until',
-        '_carriers',
         '_connections',
         '_members',
         '_own_member',
+        '_ranked',
         '_regions',
-        '_replied_at',
+        '_silent_s',
     )
 
     def __init__(
@@ -84,9 +89,10 @@
         self._regions = regions
         self._members: dict[str, MemberRecord] = {}
         self._connections: dict[str, int] = {}
-        self._carriers: dict[str, list[MemberRecord]] = {}
+        # Carriers of each endpoint, followed by their substitutes.
+        self._ranked: dict[str, list[MemberRecord]] = {}
         self._avoided_until: dict[str, float] = {}
-        self._replied_at: dict[str, float] = {}
+        self._silent_s: dict[str, float] = {}
 
     def configure(
         self,
@@ -103,7 +109,7 @@
             return
         self._connections = dict(connections)
         self._members = dict(members)
-        self._carriers = {}
+        self._ranked = {}
 
     @property
     def own_name(self) -> str:
@@ -133,15 +139,13 @@
     def find(self, entry: EndpointEntry, now: float) -> MemberRecord | None:
         """Return the carrier to use; ``None`` to connect directly.
 
-        This process connects directly if it is a carrier or none is usable.
+        This process connects directly if it is a carrier, or a substitute that
+        is needed, or if none is usable.
         """
         if not self._is_scarce(entry):
             return None
-        carriers = self._list_carriers(entry)
-        if self._is_own(carriers):
-            return None
         usable = self._list_usable(entry, now)
-        if not usable:
+        if not usable or self._own_member.name in usable:
             return None
         key = self._own_member.name + entry.endpoint_id
         return usable[rank_names(key, usable)[0]]
@@ -196,25 +200,41 @@
             log_event('carrier_avoided', carrier=carrier.name, cause=cause)
         self._avoided_until[carrier.name] = now + _AVOIDANCE_S
 
-    def record_reply(self, carrier: MemberRecord, now: float) -> None:
+    def record_reply(self, carrier: MemberRecord) -> None:
         """Record that a carrier has replied, with any result."""
-        self._replied_at[carrier.name] = now
+        self._silent_s.pop(carrier.name, None)
 
-    def record_timeout(self, carrier: MemberRecord, now: float) -> None:
-        """Record a timed-out request; avoid a carrier that stays silent."""
-        replied_at = self._replied_at.setdefault(carrier.name, now)
-        if now > replied_at + _MAX_SILENCE_S:
+    def record_timeout(
+        self, carrier: MemberRecord, sent_at: float, now: float
+    ) -> None:
+        """Record a timed-out request; avoid a carrier that stays silent.
+
+        Time in which no request was outstanding does not count: a process with
+        few callers may not have asked the carrier for long.
+        """
+        silent_s = self._silent_s.get(carrier.name, 0) + now - sent_at
+        self._silent_s[carrier.name] = silent_s
+        if silent_s > _MAX_SILENCE_S:
             self.avoid(carrier, now, 'no answer')
 
     def _list_usable(
         self, entry: EndpointEntry, now: float
     ) -> dict[str, MemberRecord]:
-        """Return an endpoint's carriers, by name, that are not avoided."""
-        return {
-            member.name: member
-            for member in self._list_carriers(entry)
-            if self._avoided_until.get(member.name, 0) <= now
-        }
+        """Return an endpoint's carriers, by name, that are not avoided.
+
+        Returns the substitutes if all carriers are avoided.
+        """
+        ranked = self._rank_nearest(entry)
+        count = self._count_carriers(entry)
+        for candidates in (ranked[:count], ranked[count:]):
+            usable = {
+                member.name: member
+                for member in candidates
+                if self._avoided_until.get(member.name, 0) <= now
+            }
+            if usable:
+                return usable
+        return {}
 
     def _is_own(self, carriers: list[MemberRecord]) -> bool:
         """Return whether this process is one of the carriers."""
@@ -234,18 +254,25 @@
         usable = self._connections.get(entry.service, 0) - _RESERVED_CONNECTIONS
         return min(usable, entry.slots * _QUEUED_PER_SLOT)
 
+    def _count_carriers(self, entry: EndpointEntry) -> int:
+        return max(1, self._count_in_flight(entry) // _LINKS_PER_CARRIER)
+
     def _list_carriers(self, entry: EndpointEntry) -> list[MemberRecord]:
         """Return an endpoint's carriers, chosen from the nearest members."""
-        chosen = self._carriers.get(entry.endpoint_id)
-        if chosen is None:
-            count = max(1, self._count_in_flight(entry) // _LINKS_PER_CARRIER)
+        return self._rank_nearest(entry)[: self._count_carriers(entry)]
+
+    def _rank_nearest(self, entry: EndpointEntry) -> list[MemberRecord]:
+        """Return an endpoint's carriers and their substitutes."""
+        ranked = self._ranked.get(entry.endpoint_id)
+        if ranked is None:
+            count = self._count_carriers(entry) + _SUBSTITUTES
             nearest = {
                 member.name: member for member in self._list_nearest(entry)
             }
             names = rank_names(entry.endpoint_id, nearest)[:count]
-            chosen = [nearest[name] for name in names]
-            self._carriers[entry.endpoint_id] = chosen
-        return chosen
+            ranked = [nearest[name] for name in names]
+            self._ranked[entry.endpoint_id] = ranked
+        return ranked
 
     def _list_nearest(self, entry: EndpointEntry) -> list[MemberRecord]:
         """Return the members in the endpoint's zone, else region, else all."""
--- a/catkincrank/gateway/remotelink.py
+++ b/catkincrank/gateway/remotelink.py
@@ -195,6 +195,7 @@
         return self._decode(answer)
 
     async def _exchange(self, request: CarryRequest) -> CarryReply:
+        sent_at = anyio.current_time()
         try:
             await self._link.send(request)
             answer = await self._link.receive()
@@ -204,9 +205,9 @@
             raise EndpointError(reason, was_sent=True) from None
         except BaseException:
             now = anyio.current_time()
-            self._carriers.record_timeout(self._carrier, now)
+            self._carriers.record_timeout(self._carrier, sent_at, now)
             raise
-        self._carriers.record_reply(self._carrier, anyio.current_time())
+        self._carriers.record_reply(self._carrier)
         if isinstance(answer, CarryReply):
             return answer
         raise EndpointError('malformed reply from the carrier', was_sent=True)
--- a/tests/test_gateway_carriers.py
+++ b/tests/test_gateway_carriers.py
@@ -17,6 +17,8 @@
 from tests import virtualtime
 from tests.gatewaypath import BOUNDED, RequestPath
 
+# Members of a zone beyond its carriers that may take their place.
+SUBSTITUTES = 4
 ZONES = ('k-a', 'k-b', 'b-a', 'b-b', 'p-a', 'p-b')
 REGIONS = {zone: zone[0] for zone in ZONES}
 FLEET = {
@@ -109,16 +111,53 @@
 
 def test_failed_carriers_are_avoided_temporarily():
     entry = _entry('k-a')
-    one = _carriers()['vm1']
+    carriers = _carriers()['vm1']
     seen = []
     while True:
-        carrier = one.find(entry, 0)
+        carrier = carriers.find(entry, 0)
         if carrier is None:
             break
         seen.append(carrier)
-        one.avoid(carrier, 0, 'test')
-    assert len(seen) == len(set(seen)) == 4
-    assert one.find(entry, 5) == seen[0]
+        carriers.avoid(carrier, 0, 'test')
+    assert len(seen) == len(set(seen)) == 4 + SUBSTITUTES
+    assert {one.name for one in seen[:4]} == {
+        one.name for one in carriers._list_carriers(entry)
+    }
+    assert carriers.find(entry, 5) == seen[0]
+
+
+def test_few_members_connect_while_all_carriers_are_avoided():
+    """Guards against a fleet whose processes all connect to an endpoint.
+
+    With 298 processes before endpoints with 46 connections, carriers were slow
+    for a moment. The others connected themselves, 36,270 times in 14 s, which
+    occupied the endpoints' slots and kept the carriers slow.
+    """
+    entry = _entry('k-a')
+    fleet = _carriers()
+    for one in fleet.values():
+        for carrier in one._list_carriers(entry):
+            one.avoid(carrier, 0, 'test')
+    direct = {name for name, one in fleet.items() if one.find(entry, 0) is None}
+    asked = {one.find(entry, 0) for one in fleet.values()} - {None}
+    assert len(direct) == SUBSTITUTES
+    assert {member.name for member in asked} <= direct
+
+
+def test_rare_requests_that_time_out_do_not_count_as_silence():
+    """Guards against carriers avoided for one late reply.
+
+    A process that sends a carrier few requests has had no reply for seconds.
+    """
+    entry = _entry('k-a')
+    one = _carriers()['vm1']
+    carrier = one.find(entry, 0)
+    one.record_reply(carrier)
+    for sent_at in (10, 20):
+        one.record_timeout(carrier, sent_at, sent_at + 0.35)
+        assert one.find(entry, sent_at + 0.35) == carrier
+    one.record_timeout(carrier, 30, 30.35)
+    assert one.find(entry, 30.35) != carrier
 
 
 def test_carrier_that_replies_is_not_avoided_for_a_slow_endpoint():
@@ -131,10 +170,10 @@
     one = _carriers()['vm1']
     carrier = one.find(entry, 0)
     for moment in range(20):
-        one.record_reply(carrier, moment / 2)
-        one.record_timeout(carrier, moment / 2 + 0.4)
+        one.record_reply(carrier)
+        one.record_timeout(carrier, moment / 2, moment / 2 + 0.4)
         assert one.find(entry, moment / 2 + 0.4) == carrier
-    one.record_timeout(carrier, 11)
+    one.record_timeout(carrier, 10.2, 11)
     assert one.find(entry, 11) != carrier
 
 
