--- a/catkincrank/gateway/organisations/allocator.py
+++ b/catkincrank/gateway/organisations/allocator.py
@@ -360,9 +360,8 @@
         for use in report.uses:
             pool = self._find_pool(use.organisation, now)
             if pool is None:
-                shares.append(
-                    OrganisationShare(use.organisation, is_exhausted=True)
-                )
+                # This process may get the configuration later than the VM.
+                shares.append(OrganisationShare(use.organisation))
                 continue
             pool.sweep(now)
             if is_new and use.share and use.token != self.token:
--- a/catkincrank/gateway/organisations/quotas.py
+++ b/catkincrank/gateway/organisations/quotas.py
@@ -204,7 +204,10 @@
         """Send a report if one is due, and apply the answer."""
         self._apply_catalog()
         holder = self._fleet.holder
-        if not (self._limits and holder):
+        if not self._limits:
+            return
+        if not holder:
+            self._measures.record_report('', 0, is_applied=False)
             return
         revision, record = holder
         member = self._fleet.members.get(record.name)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from catkincrank.gateway.catalog import Catalog, Organisation
+from catkincrank.gateway.fleetrecords import MemberRecord
 from catkincrank.gateway.organisations.allocator import QuotaAllocator
 from catkincrank.gateway.organisations.bucket import TokenBucket
 from catkincrank.gateway.organisations.quotamessages import (
@@ -19,9 +20,12 @@
     QuotaReport,
 )
 from catkincrank.gateway.organisations.shareholder import Shareholder
+from catkincrank.gateway.peers import PeerClient, PeerServer
 from catkincrank.gateway.reply import StatementFailed
 from tests import virtualtime
+from tests.gatewayfleet import Fleet
 from tests.quotafleet import QuotaFleet, find_bound
+from tests.test_gateway_drain import find_port
 
 ORG = 'o'
 LIMIT = {ORG: (145, 145)}
@@ -225,10 +229,10 @@
 # Failures.
 
 
-def _run_takeover(*, unaware, is_lost):
+def _run_takeover(*, unaware, is_lost, limits=LIMIT, rate=80):
     async def scenario(fleet):
         async with anyio.create_task_group() as tasks:
-            rates = dict.fromkeys(_names(10)[1:], 9)
+            rates = dict.fromkeys(_names(10)[1:], rate / 9)
             tasks.start_soon(fleet.load_all, ORG, rates, 40)
             await anyio.sleep(5)
             if is_lost:
@@ -240,7 +244,7 @@
             fleet.take_over('vm1', unaware)
         return fleet.count(ORG), fleet.find_most(ORG)
 
-    return run_fleet(scenario)
+    return run_fleet(scenario, limits)
 
 
 def test_shares_outlast_the_loss_of_the_allocator():
@@ -264,6 +268,36 @@
     assert most <= find_bound(145, 145)
 
 
+@pytest.mark.parametrize('unaware', [(), ('vm0', 'vm2', 'vm3')])
+def test_allowance_of_a_new_holder_keeps_a_small_limit(unaware):
+    """Guards against an allowance beyond the tolerated operations."""
+    _, most = _run_takeover(
+        unaware=unaware, is_lost=False, limits=SMALL, rate=40
+    )
+    assert most <= find_bound(5, 5)
+
+
+def test_restart_of_all_vms_serves_small_limits():
+    """Guards against refusals until all earlier shares have expired.
+
+    After a power loss the new holder cannot know whether another process
+    still holds a share.
+    """
+
+    async def scenario(fleet):
+        for name in _names(10):
+            fleet.restart(name)
+        await anyio.sleep(3.5)
+        fleet.take_over('vm1')
+        await anyio.sleep(3.1)
+        since = anyio.current_time()
+        await fleet.load_all(ORG, dict.fromkeys(_names(10), 0.25), 12)
+        return fleet.count(ORG, since)
+
+    admitted, refused = run_fleet(scenario, SMALL)
+    assert refused <= 0.1 * (admitted + refused)
+
+
 def test_holder_that_was_frozen_does_not_answer():
     """Guards against a process that resumes as the holder it was."""
 
@@ -394,6 +428,61 @@
     assert ask('b', 'i', 3, 1.6) == 0
 
 
+def test_lease_shows_what_bounds_an_earlier_holder():
+    """Guards against a holder that waits from a time before its takeover.
+
+    Only the first holder of a new deployment allocates without a wait.
+    """
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            fleet = Fleet(tasks)
+            fleet.start('p', 'q')
+            await anyio.sleep(10)
+            first = fleet.nodes[fleet.lease_holder].lease
+            assert first.is_first
+            assert first.confirmed_at > anyio.current_time() - 1
+            fleet.kill(fleet.lease_holder)
+            killed_at = anyio.current_time()
+            await anyio.sleep(8)
+            second = fleet.nodes[fleet.lease_holder].lease
+            tasks.cancel_scope.cancel()
+        assert not second.is_first
+        assert second.taken_at > max(killed_at, first.confirmed_at)
+
+    virtualtime.run(run)
+
+
+def test_reports_are_answered_over_links():
+    """Guards against messages that do not survive their encoding."""
+
+    async def run():
+        async with anyio.create_task_group() as tasks:
+            fleet = QuotaFleet(tasks, LIMIT, _names(2))
+            fleet.take_over('vm0')
+            server = PeerServer()
+            server.handle(QuotaReport, fleet.vms['vm0'].quotas.answer)
+            port = find_port()
+            tasks.start_soon(server.run, '127.0.0.1', port)
+            await anyio.sleep(0.1)
+            peer = MemberRecord('vm0', 'i', '127.0.0.1', port, 'z')
+            client = PeerClient()
+            use = OrganisationUse(ORG, 50, 3)
+            report = QuotaReport('vm1', 'i', 1, 0, True, (use,))
+            answer = await client.ask(peer, report, 5)
+            bad = replace(report, uses=(replace(use, share=5),))
+            refused = await client.ask(peer, bad, 5)
+            again = await client.ask(peer, report, 5)
+            tasks.cancel_scope.cancel()
+        return answer, refused, again
+
+    answer, refused, again = anyio.run(run)
+    assert answer.shares[0].tokens == 3
+    assert 0 < answer.shares[0].share <= 0.8
+    assert refused is None
+    assert again.sequence > answer.sequence
+
+
 @pytest.mark.parametrize('answers_all', [True, False])
 def test_new_holder_allocates_what_it_does_not_know_only_later(answers_all):
     """Guards against a share that a silent VM holds being given away."""
