Test withdrawals during admission, rollbacks, and the volume of log lines

Cause: three statements of the design note on keys had no test. Change: tests for a key withdrawn while an operation waits for its quota, for a ROLLBACK without a valid key, and for 500 denied sessions, which write 50 lines and leave the lines about requests alone.

--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -4,14 +4,17 @@
 
 import anyio
 import pytest
+from loguru import logger
 
 from catkincrank.gateway.catalog import Organisation
 from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.organisations.directory import Directory
 from catkincrank.gateway.organisations.keys import digest_key
 from catkincrank.gateway.reply import Failure, StatementFailed
+from catkincrank.gateway.requestlog import LineBudget, RequestLog
 from catkincrank.gateway.session import Session, Transaction
 from catkincrank.gateway.sessionserver import SessionServer
+from catkincrank.metrics import Metrics
 from tests import virtualtime
 from tests.gatewaypath import BOUNDED, CATALOG, STRONG, RequestPath
 from tests.test_gateway_sessionserver import MemoryStream
@@ -206,6 +209,17 @@
     run_path(scenario)
 
 
+def test_a_rollback_without_a_valid_key_is_answered():
+    async def scenario(path, caller):
+        await caller.send(b'STARTUP strong k1')
+        await caller.send(b'QUERY 1 BEGIN', b'QUERY 2 WRITE k v')
+        path.groups.accept(make_catalog(3))
+        received = await caller.send(b'QUERY 3 ROLLBACK')
+        assert received == b'COMPLETE -\r\nREADY I -\r\nCLOSED'
+
+    run_path(scenario)
+
+
 def test_an_idle_transaction_is_rolled_back_within_two_seconds():
     async def scenario(path, caller):
         await caller.send(b'STARTUP strong k1')
@@ -256,6 +270,42 @@
     run_path(scenario)
 
 
+def test_lines_about_denied_sessions_are_bounded():
+    """Guards against callers with a wrong key that fill the log.
+
+    Their lines must not displace those about requests either.
+    """
+    lines = []
+    handler = logger.add(lines.append, format='{extra[event]}')
+    metrics = Metrics()
+    log = RequestLog(metrics, LineBudget())
+
+    async def scenario():
+        for _ in range(500):
+            log.record_denied_session('strong')
+        log.record_unknown_database('missing')
+
+    try:
+        virtualtime.run(scenario)
+    finally:
+        logger.remove(handler)
+    assert lines.count('session_denied\n') == 50
+    assert lines[-1] == 'database_unknown\n'
+    assert b'catkincrank_denied_sessions_total 500.0' in metrics.render()
+
+
+def use_quotas(path, quotas):
+    old = path.session_server
+    path.session_server = SessionServer(
+        path.groups,
+        old._execution,
+        old._transactions,
+        old._log,
+        old._codec,
+        quotas,
+    )
+
+
 class CountingQuotas:
     """Admits two operations and refuses the next ones."""
 
@@ -268,18 +318,37 @@
         self.admitted.append(organisation)
 
 
+class SlowQuotas:
+    """Admits an operation after 0.4 s."""
+
+    async def admit(self, organisation):
+        await anyio.sleep(0.4)
+
+
+@pytest.mark.parametrize('text', [b'BEGIN', b'READ k'])
+def test_a_key_that_is_withdrawn_during_admission_is_denied(text):
+    async def scenario(path, _):
+        use_quotas(path, SlowQuotas())
+        session = Session('strong', digest_key(b'k1'), 'o')
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(withdraw, path)
+            reply = await path.run_statement(session, text)
+        assert reply.refusal.failure is Failure.DENIED
+        assert session.is_denied
+        assert session.transaction is None
+        assert not path.runs
+
+    async def withdraw(path):
+        await anyio.sleep(0.2)
+        path.groups.accept(make_catalog(3))
+
+    run_path(scenario)
+
+
 def test_quotas_count_each_operation_of_an_organisation_once():
     async def scenario(path, _):
         quotas = CountingQuotas()
-        old = path.session_server
-        path.session_server = SessionServer(
-            path.groups,
-            old._execution,
-            old._transactions,
-            old._log,
-            old._codec,
-            quotas,
-        )
+        use_quotas(path, quotas)
         session = Session('strong', digest_key(b'k1'), 'o')
         public = Session('open', digest_key(b'k2'))
         answers = [
