--- a/tests/test_organisation_links.py
+++ b/tests/test_organisation_links.py
@@ -8,6 +8,7 @@
 import pytest
 
 from catkincrank.envelope import decode_message, encode_message
+from catkincrank.errors import EndpointError
 from catkincrank.gateway import remotelink
 from catkincrank.gateway.carriermessages import (
     CarriedOrganisation,
@@ -25,6 +26,7 @@
 from catkincrank.gateway.statement import Prepared
 from catkincrank.links import LinkClosedError
 from catkincrank.metrics import Metrics
+from catkincrank.platform.endpoints import LineLink
 from catkincrank.standins.memoryendpoints import MemoryEndpointGroup
 from catkincrank.standins.memorylink import MemoryDriver
 from tests import test_gateway_carriers as carried
@@ -463,6 +465,45 @@
     assert decoded.route == 'r'
 
 
+class _Stream:
+    """A connection to an endpoint that accepts every name."""
+
+    def __init__(self):
+        self.sent = b''
+
+    async def send(self, payload):
+        self.sent += payload
+
+    async def receive(self, _size):
+        return b'READY I 1.0\r\n'
+
+
+@pytest.mark.parametrize(
+    ('name', 'is_sent'),
+    [
+        ('o-1', True),
+        ('', False),
+        ('a b', False),
+        ('a\r\nQ', False),
+        ('ä', False),
+    ],
+)
+def test_only_a_name_that_is_one_field_is_sent(name, is_sent):
+    """Guards against a name from another process that injects a request.
+
+    One that cannot be encoded would end the process.
+    """
+    stream = _Stream()
+    link = LineLink(stream, 'i-0')
+    if is_sent:
+        anyio.run(link.start, 'svc', name)
+        assert stream.sent == b'STARTUP svc o-1 i-0\r\n'
+        return
+    with pytest.raises(EndpointError) as caught:
+        anyio.run(link.start, 'svc', name)
+    assert not (caught.value.was_sent or stream.sent)
+
+
 def test_all_processes_use_the_same_carriers_of_an_organisation():
     entry = carried._entry('k-a')
     carriers = carried._carriers()
