--- a/catkincrank/poolround.py
+++ b/catkincrank/poolround.py
@@ -20,8 +20,8 @@
 __all__ = ('RoomLimits', 'ServingRound')
 
 # Virtual time by which a request may be served before one that needs its
-# connection closed; a request of weight 1 takes 1. With 16 logins that ask for
-# twice what 9 connections serve, 1 halves the number of connections opened.
+# connection closed; a request of weight 1 takes 1. Without it, 16 logins that
+# share 9 connections at full load had more than twice as many opened.
 _MAX_ADVANCE = 1.0
 
 
