Use nothing known of an endpoint's earlier start for its next one

Cause: answers, response times and the grant were kept by the endpoint's identifier. A primary that was started again and had caught up past what a process knew counted as the granted primary: its position became a sample, which could allow a stale read. The times at which it had answered, was slow or began to leave were kept too. Answers, latencies and leaving are kept by start. A registration that a restoration made outdated is used once it is written again, so a start in the future or a clock that went back does not exclude an endpoint. Known log positions are kept over a restart on purpose: they can only make a read or a proof fail.

--- a/catkincrank/gateway/choice.py
+++ b/catkincrank/gateway/choice.py
@@ -54,25 +54,26 @@
     def __init__(self, zone: str, regions: dict[str, str]) -> None:
         self._zone = zone
         self._regions = regions
-        self._means: dict[str, tuple[float, float]] = {}
+        # Start of each endpoint, its mean and when that was recorded.
+        self._means: dict[str, tuple[int, float, float]] = {}
 
     def record_answer(
-        self, endpoint_id: str, took_s: float, now: float
+        self, entry: EndpointEntry, took_s: float, now: float
     ) -> None:
-        """Add a response time to an endpoint's mean."""
-        mean, _ = self._means.get(endpoint_id, (took_s, now))
-        self._means[endpoint_id] = (
-            mean + _SAMPLE_WEIGHT * (took_s - mean),
-            now,
-        )
+        """Add a response time to the mean of an endpoint's start."""
+        known = self._means.get(entry.endpoint_id)
+        mean = took_s
+        if known is not None and known[0] == entry.born_ms:
+            mean = known[1] + _SAMPLE_WEIGHT * (took_s - known[1])
+        self._means[entry.endpoint_id] = (entry.born_ms, mean, now)
 
     def estimate(self, entry: EndpointEntry, now: float) -> float:
         """Return the expected response time, in seconds."""
         initial = self._initial_estimate(entry.zone)
         known = self._means.get(entry.endpoint_id)
-        if known is None:
+        if known is None or known[0] != entry.born_ms:
             return initial
-        mean, recorded_at = known
+        _, mean, recorded_at = known
         decay = 0.5 ** ((now - recorded_at) / _HALF_LIFE_S)
         return initial + (mean - initial) * decay
 
--- a/catkincrank/gateway/configurator.py
+++ b/catkincrank/gateway/configurator.py
@@ -80,6 +80,7 @@
             entry = row.body and self._schema.decode_entry(row.key, row.body)
             era = row.revision.era
             if entry and roster.is_outdated(entry, era):
+                roster.refuse(entry, era)
                 log_event(
                     'registration_outdated',
                     endpoint=entry.endpoint_id,
@@ -140,6 +141,14 @@
         before: EndpointEntry | None,
         entry: EndpointEntry,
     ) -> None:
+        is_restarted = before is not None and before.start != entry.start
+        if is_restarted:
+            log_event(
+                'endpoint_restarted',
+                endpoint=entry.endpoint_id,
+                born_before=before.born_ms,
+                born=entry.born_ms,
+            )
         if before is None or before.is_draining != entry.is_draining:
             log_event(
                 'endpoint_registered',
--- a/catkincrank/gateway/evidence.py
+++ b/catkincrank/gateway/evidence.py
@@ -12,6 +12,7 @@
 
 from catkincrank.gateway.position import Position
 from catkincrank.gateway.primaryproof import ProofState
+from catkincrank.gateway.roster import EndpointEntry
 
 __all__ = ('Grant', 'GroupEvidence')
 
@@ -35,32 +36,40 @@
         term: Term of the primary.
         until: Expiry time, in seconds of the local clock.
         bases: Each recent term with the position at which its log began.
+        born_ms: Start of the primary, in Unix milliseconds. The grant does not
+            hold for a later start of it.
     """
 
     endpoint_id: str
     term: int
     until: float
     bases: tuple[tuple[int, Position], ...] = ()
+    born_ms: int = 0
+
+    def names(self, entry: EndpointEntry) -> bool:
+        """Return whether an endpoint is the primary, in the same start."""
+        return (self.endpoint_id, self.born_ms) == entry.start
 
 
 @final
-class GroupEvidence:
+class GroupEvidence:  # noqa: WPS214
     """Evidence about one group.
 
     Attributes:
         grant: The newest grant, which may have expired.
-        positions: Newest log position of each endpoint in the current term.
-        answered_at: When each endpoint last answered, in seconds.
+        positions: Newest log position of each endpoint in the current term. It
+            outlasts a restart: an endpoint that holds less has lost its log,
+            and what it reports is not relied on.
         granted_at: When the current primary was first granted, in seconds.
         proof: Proofs that may take the place of an expired grant.
     """
 
     __slots__ = (
+        '_answered_at',
         '_missed_at',
         '_missing_since',
         '_samples',
         '_unproved',
-        'answered_at',
         'grant',
         'granted_at',
         'positions',
@@ -70,9 +79,10 @@
     def __init__(self) -> None:
         self.grant: Grant | None = None
         self.positions: dict[str, Position] = {}
-        self.answered_at: dict[str, float] = {}
         self.granted_at: float = 0
         self.proof = ProofState()
+        # Start of each endpoint that answered last, and when.
+        self._answered_at: dict[str, tuple[int, float]] = {}
         self._missing_since: float | None = None
         self._missed_at: float = 0
         self._samples: deque[tuple[float, Position]] = deque()
@@ -129,9 +139,11 @@
         self.grant = grant
         if grant is None:
             return False
-        changed = before is None or before.term != grant.term
-        if changed:
+        is_new_term = before is None or before.term != grant.term
+        if is_new_term:
             self.positions.clear()
+        changed = is_new_term or before.born_ms != grant.born_ms
+        if changed:
             self.granted_at = now
             self.proof.reset()
             self._unproved.clear()
@@ -139,9 +151,14 @@
             self.proof.forget_failures()
         return changed
 
+    def find_answered_at(self, entry: EndpointEntry) -> float:
+        """Return when an endpoint last answered; 0 if not since its start."""
+        born_ms, answered_at = self._answered_at.get(entry.endpoint_id, (0, 0))
+        return answered_at if born_ms == entry.born_ms else 0
+
     def record_answer(
         self,
-        endpoint_id: str,
+        entry: EndpointEntry,
         position: Position | None,
         sent_at: float,
         now: float,
@@ -149,12 +166,13 @@
         """Record an answer of an endpoint and the log position in it.
 
         Args:
-            endpoint_id: The endpoint that answered.
+            entry: The endpoint that answered.
             position: Its log position, if the answer held one.
             sent_at: When the request was sent.
             now: Current time.
         """
-        self.answered_at[endpoint_id] = now
+        endpoint_id = entry.endpoint_id
+        self._answered_at[endpoint_id] = (entry.born_ms, now)
         if position is None:
             return
         # An endpoint whose log is shorter than before was restarted without it.
@@ -163,7 +181,7 @@
         if position < known:
             return
         grant = self.grant
-        if grant is None or grant.endpoint_id != endpoint_id:
+        if grant is None or not grant.names(entry):
             return
         # A request sent before the grant may have been answered while the
         # endpoint was still a replica that lacked commits it received later.
--- a/catkincrank/gateway/fleetrecords.py
+++ b/catkincrank/gateway/fleetrecords.py
@@ -115,9 +115,11 @@
         """Return the record with the replacement mark set."""
         return msgspec.structs.replace(self, is_replacing=True)
 
-    def clear_replacing(self) -> 'GroupRecord':
-        """Return the record with the replacement mark cleared."""
-        return msgspec.structs.replace(self, is_replacing=False)
+    def clear_replacing(self, born_ms: int) -> 'GroupRecord':
+        """Return the record without the mark, for a start of the primary."""
+        return msgspec.structs.replace(
+            self, is_replacing=False, born_ms=born_ms
+        )
 
     def with_primary(
         self,
--- a/catkincrank/gateway/forwarding.py
+++ b/catkincrank/gateway/forwarding.py
@@ -161,8 +161,8 @@
         now = anyio.current_time()
         entry = borrowed.entry
         evidence = self._groups.evidence(entry.service)
-        evidence.record_answer(entry.endpoint_id, reply.position, sent_at, now)
+        evidence.record_answer(entry, reply.position, sent_at, now)
         took_s = now - sent_at
         if reply.refusal and reply.refusal.failure is Failure.FAILED:
             took_s = max(took_s, _FAILURE_LATENCY_S)
-        self._latencies.record_answer(entry.endpoint_id, took_s, now)
+        self._latencies.record_answer(entry, took_s, now)
--- a/catkincrank/gateway/grants.py
+++ b/catkincrank/gateway/grants.py
@@ -150,6 +150,7 @@
             record.term,
             copy.read_at + GRANT_DURATION_S,
             record.list_bases(),
+            record.born_ms,
         )
 
     def _end_grant(self, service: str) -> Grant | None:
@@ -162,4 +163,5 @@
             before.term,
             min(before.until, anyio.current_time()),
             before.bases,
+            before.born_ms,
         )
--- a/catkincrank/gateway/groups.py
+++ b/catkincrank/gateway/groups.py
@@ -35,7 +35,8 @@
         self.roster = Roster()
         self._evidence: dict[str, GroupEvidence] = {}
         self._changed = anyio.Event()
-        self._leaving_since: dict[str, float] = {}
+        # Start of each endpoint that is leaving, and since when.
+        self._leaving_since: dict[str, tuple[int, float]] = {}
         self._proof_requested = anyio.Event()
         self._proof_requests: set[str] = set()
 
@@ -81,12 +82,12 @@
         answer are used for some time longer.
         """
         usable = self.roster.of_service(service)
-        answered_at = self.evidence(service).answered_at
+        evidence = self.evidence(service)
         usable.extend(
             entry
             for entry in self.roster.list_lapsed(now - _LAPSED_USE_S)
             if entry.service == service
-            and now < answered_at.get(entry.endpoint_id, 0) + _LAPSED_SILENCE_S
+            and now < evidence.find_answered_at(entry) + _LAPSED_SILENCE_S
         )
         return usable
 
@@ -136,7 +137,9 @@
     def track_leaving(self, entry: EndpointEntry, now: float) -> None:
         """Record when an endpoint began to leave, or that it stays."""
         if entry.is_draining:
-            self._leaving_since.setdefault(entry.endpoint_id, now)
+            since = self._leaving_since.get(entry.endpoint_id)
+            if since is None or since[0] != entry.born_ms:
+                self._leaving_since[entry.endpoint_id] = (entry.born_ms, now)
         else:
             self._leaving_since.pop(entry.endpoint_id, None)
 
@@ -181,13 +184,13 @@
         if grant is None or not evidence.covers(grant.term, since, now):
             return None
         for entry in self.list_usable(service, now):
-            if entry.endpoint_id == grant.endpoint_id:
+            if grant.names(entry):
                 return None if self._has_left(entry, now) else (grant, entry)
         return None
 
     def _has_left(self, entry: EndpointEntry, now: float) -> bool:
         since = self._leaving_since.get(entry.endpoint_id)
-        return since is not None and now >= since + _LEAVING_USE_S
+        return since is not None and now >= since[1] + _LEAVING_USE_S
 
 
 # A leaving primary is used until its successor takes over, but no longer than
--- a/catkincrank/gateway/placement.py
+++ b/catkincrank/gateway/placement.py
@@ -199,9 +199,7 @@
 
     def record_timeout(self, entry: EndpointEntry, took_s: float) -> None:
         """Count the time until an endpoint timed out as its response time."""
-        self._latencies.record_answer(
-            entry.endpoint_id, took_s, anyio.current_time()
-        )
+        self._latencies.record_answer(entry, took_s, anyio.current_time())
 
     def may_retry_elsewhere(
         self, request: PlacementRequest, failure: Failure
--- a/catkincrank/gateway/primarymonitor.py
+++ b/catkincrank/gateway/primarymonitor.py
@@ -15,6 +15,7 @@
 from catkincrank.gateway.peers import PeerClient
 from catkincrank.gateway.replacement import PrimaryReplacement
 from catkincrank.gateway.resilience import run_restarting
+from catkincrank.gateway.roster import EndpointEntry
 from catkincrank.gateway.suspicion import (
     Cause,
     PrimaryObservation,
@@ -159,15 +160,22 @@
         entry = self._groups.roster.find(record.primary)
         if entry is None:
             return await self._observe_unregistered(record, history, now)
-        history.unregistered_since = None
-        if self._has_answered(record, history, now):
+        is_same_start = entry.start == (record.primary, record.born_ms)
+        if is_same_start:
+            history.unregistered_since = None
+        elif history.unregistered_since is None:
+            history.unregistered_since = now
+        if self._has_answered(entry, history, now):
             return PrimaryObservation(entry, None, 0, 0)
         found = await self._prober.probe(entry)
         history.probed_at = now
         history.failed_probes = (
             0 if found.is_alive else history.failed_probes + 1
         )
-        return PrimaryObservation(entry, found.state, history.failed_probes, 0)
+        restarted_s = 0 if is_same_start else now - history.unregistered_since
+        return PrimaryObservation(
+            entry, found.state, history.failed_probes, 0, restarted_s
+        )
 
     async def _observe_unregistered(
         self,
@@ -197,7 +205,7 @@
 
     def _has_answered(
         self,
-        record: GroupRecord,
+        entry: EndpointEntry,
         history: _ProbeHistory,
         now: float,
     ) -> bool:
@@ -205,8 +213,8 @@
 
         A probe is still due from time to time to check the primary's role.
         """
-        evidence = self._groups.evidence(record.service)
-        answered_at = evidence.answered_at.get(record.primary, 0)
+        evidence = self._groups.evidence(entry.service)
+        answered_at = evidence.find_answered_at(entry)
         is_due = now >= history.probed_at + _ROLE_CHECK_INTERVAL_S
         is_recent = now < answered_at + _PROBE_INTERVAL_S
         return is_recent and not (is_due or history.failed_probes)
--- a/catkincrank/gateway/primaryprover.py
+++ b/catkincrank/gateway/primaryprover.py
@@ -1,9 +1,11 @@
 """Asks the endpoints of a group for the proof that its primary still leads."""
 
+from collections.abc import Iterable
 from typing import final
 
 import anyio
 
+from catkincrank.gateway.evidence import Grant
 from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.link import EndpointState
 from catkincrank.gateway.linkprovider import LinkProvider
@@ -78,7 +80,9 @@
         if not self._is_needed(service, grant.term, now):
             return
         primary = grant.endpoint_id
-        objection = find_objection(primary, grant.term, states, known)
+        objection = _find_restart(grant, members) or find_objection(
+            primary, grant.term, states, known
+        )
         self._log_change(service, evidence.proof.objection, objection)
         self._proofs.labels('failed' if objection else 'proved').inc()
         if objection:
@@ -117,3 +121,12 @@
             log_event('primary_unproved', service=service, cause=objection)
         else:
             log_event('primary_proved', service=service)
+
+
+def _find_restart(grant: Grant, members: Iterable[EndpointEntry]) -> str:
+    """Return that the primary was restarted since its grant, or nothing."""
+    is_restarted = any(
+        entry.endpoint_id == grant.endpoint_id and not grant.names(entry)
+        for entry in members
+    )
+    return 'the primary was started again' if is_restarted else ''
--- a/catkincrank/gateway/replacement.py
+++ b/catkincrank/gateway/replacement.py
@@ -303,7 +303,7 @@
         state: EndpointState,
     ) -> None:
         """Record the new primary, so that processes get grants for it."""
-        next_record = record.clear_replacing()
+        next_record = record.clear_replacing(entry.born_ms)
         if state.term != record.term:
             next_record = record.with_primary(
                 entry.endpoint_id,
--- a/catkincrank/gateway/roster.py
+++ b/catkincrank/gateway/roster.py
@@ -36,6 +36,14 @@
     born_ms: int = 0
     sequence: int = 0
 
+    @property
+    def start(self) -> tuple[str, int]:
+        """Identifies one start of the endpoint.
+
+        Nothing that is known of another start holds for this one.
+        """
+        return self.endpoint_id, self.born_ms
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -71,31 +79,47 @@
 class Roster:
     """Registered endpoints, and those whose registration is gone."""
 
-    __slots__ = ('_entries', '_lapsed', '_seen')
+    __slots__ = ('_entries', '_lapsed', '_refused', '_seen')
 
     def __init__(self) -> None:
         self._entries: dict[str, EndpointEntry] = {}
         self._lapsed: dict[str, LapsedEntry] = {}
         self._seen: dict[str, _Seen] = {}
+        # First registration of an endpoint that was outdated in its era.
+        self._refused: dict[str, _Seen] = {}
 
     def is_outdated(self, entry: EndpointEntry, era: int) -> bool:
         """Return whether a restored store brought back an old registration.
 
         An endpoint that has left, or is leaving, writes nothing newer; one that
-        runs writes its registration again.
+        runs writes its registration again. That is also how one is recognized
+        whose clock went back, or of which another writer gave a later start.
         """
         seen = self._seen.get(entry.endpoint_id)
         if seen is None or seen.era == era or not entry.sequence:
             return False
+        refused = self._refused.get(entry.endpoint_id)
+        if refused is not None and refused.era == era:
+            is_rewritten = entry.sequence > refused.entry.sequence
+            if is_rewritten and entry.start == refused.entry.start:
+                return False
         if entry.born_ms != seen.entry.born_ms:
             return entry.born_ms < seen.entry.born_ms
         newest = seen.entry.sequence
         return entry.sequence < newest + seen.is_removed
 
+    def refuse(self, entry: EndpointEntry, era: int) -> None:
+        """Keep an outdated registration, to recognize a newer write of it."""
+        refused = self._refused.get(entry.endpoint_id)
+        is_known = refused is not None and refused.era == era
+        if not (is_known and refused.entry.start == entry.start):
+            self._refused[entry.endpoint_id] = _Seen(entry, era)
+
     def put(self, entry: EndpointEntry, era: int = 0) -> None:
         """Add or replace an entry that was read in an era of the store."""
         self._entries[entry.endpoint_id] = entry
         self._lapsed.pop(entry.endpoint_id, None)
+        self._refused.pop(entry.endpoint_id, None)
         self._seen[entry.endpoint_id] = _Seen(entry, era)
 
     def drop(
--- a/catkincrank/gateway/suspicion.py
+++ b/catkincrank/gateway/suspicion.py
@@ -25,6 +25,7 @@
     GONE = 'its registration is gone'
     DEMOTED = 'it is no longer a primary'
     UNREACHABLE = 'neither this process nor most peers can reach it'
+    RESTARTED = 'it was started again'
     RESTORED = 'the restored store may lack a promotion'
     INTERRUPTED = 'an earlier replacement did not finish'
 
@@ -40,12 +41,15 @@
         failed_probes: Consecutive probes without an answer.
         unregistered_s: How long readings of the store have lacked the
             registration, in seconds.
+        restarted_s: How long the registration has named another start of the
+            primary than the record, in seconds.
     """
 
     entry: EndpointEntry | None
     state: EndpointState | None
     failed_probes: int
     unregistered_s: float
+    restarted_s: float = 0
 
 
 # Registrations expire during an outage of the store and are written again
@@ -68,6 +72,9 @@
         return Cause.DEMOTED
     if entry is not None and entry.is_draining:
         return Cause.LEAVING
+    # Another writer's registration is overwritten within two seconds.
+    if observation.restarted_s > _UNREGISTERED_LIMIT_S:
+        return Cause.RESTARTED
     return _find_silence_cause(observation) if state is None else None
 
 
--- a/tests/test_gateway_carriers.py
+++ b/tests/test_gateway_carriers.py
@@ -300,7 +300,10 @@
         path.dead.update(path.carrier_services)
         session = path.open('bounded')
         path.evidence.record_answer(
-            'a', path.group.newest_primary.position, 0, 0
+            path.groups.roster.find('a'),
+            path.group.newest_primary.position,
+            0,
+            0,
         )
         with anyio.fail_after(30):
             while _verdicts(await path.run_script(session, b'READ k')) != [
--- a/tests/test_gateway_evidence.py
+++ b/tests/test_gateway_evidence.py
@@ -2,6 +2,11 @@
 
 from catkincrank.gateway.evidence import Grant, GroupEvidence
 from catkincrank.gateway.position import Position
+from catkincrank.gateway.roster import EndpointEntry
+
+
+def _entry(name, born_ms=0):
+    return EndpointEntry(name, 'svc', '10.0.0.1', 80, 'z', 3, born_ms=born_ms)
 
 
 def _make_grant(name, term, until=100, bases=()):
@@ -22,7 +27,7 @@
     evidence = GroupEvidence()
     evidence.apply_grant(_make_grant('a', 1), 1)
     evidence.apply_grant(_make_grant('b', 2), 10)
-    evidence.record_answer('b', Position(1, 38), sent_at, 12)
+    evidence.record_answer(_entry('b'), Position(1, 38), sent_at, 12)
     assert (evidence.find_covering_position(0) is not None) is is_sample
 
 
@@ -30,7 +35,7 @@
     evidence = GroupEvidence()
     evidence.apply_grant(_make_grant('a', 1), 1)
     evidence.apply_grant(_make_grant('a', 1), 10)
-    evidence.record_answer('a', Position(1, 38), 5, 12)
+    evidence.record_answer(_entry('a'), Position(1, 38), 5, 12)
     assert evidence.find_covering_position(5) == Position(1, 38)
     assert evidence.find_covering_position(6) is None
 
@@ -63,8 +68,8 @@
     """
     evidence = GroupEvidence()
     evidence.apply_grant(_make_grant('a', 1), 1)
-    evidence.record_answer('a', Position(1, 38), 2, 3)
-    evidence.record_answer('a', later, 4, 5)
+    evidence.record_answer(_entry('a'), Position(1, 38), 2, 3)
+    evidence.record_answer(_entry('a'), later, 4, 5)
     assert evidence.find_primary_position() == Position(1, 38)
     assert evidence.find_covering_position(3) is None
 
@@ -78,5 +83,5 @@
     bases = ((1, Position(0, 0)), (2, Position(1, 40)))
     evidence.apply_grant(_make_grant('a', 2, bases=bases), 1)
     if answered:
-        evidence.record_answer('a', answered, 2, 3)
+        evidence.record_answer(_entry('a'), answered, 2, 3)
     assert evidence.find_primary_position() == expected
--- a/tests/test_load_store_away.py
+++ b/tests/test_load_store_away.py
@@ -255,7 +255,8 @@
         evidence = path.evidence
         evidence._samples.clear()
         now = anyio.current_time()
-        evidence.record_answer('a', Position(1, 5), now - 0.1, now)
+        entry = path.groups.roster.find('a')
+        evidence.record_answer(entry, Position(1, 5), now - 0.1, now)
         before = evidence.find_covering_position(now - 0.1)
         evidence.record_proof(now - 0.2, Position(1, 4))
         between = evidence.find_covering_position(now - 0.1)
@@ -278,8 +279,8 @@
         async def learn_positions():
             for number in range(1, 200):
                 now = anyio.current_time()
-                for name in ('a', 'b', 'c'):
-                    evidence.record_answer(name, Position(1, number), now, now)
+                for entry in path.groups.roster.list_entries():
+                    evidence.record_answer(entry, Position(1, number), now, now)
                 await anyio.sleep(0.001)
 
         async with anyio.create_task_group() as tasks:
