Refuse registrations and configurations whose fields cannot be used

Cause: a registration with a huge or negative number, a service with spaces or line ends, no slots or a host name passed the decoder; such fields fail later, when a statement is encoded for an endpoint or a carrier, and a name would be looked up while the process waits. Configurations took negative times, priorities that do not fit into messages, and empty keys. Change: the decoder checks ranges, addresses (an IP number) and identifiers.

--- a/catkincrank/platform/documents.py
+++ b/catkincrank/platform/documents.py
@@ -1,8 +1,9 @@
 """Decodes the operator's configuration and the endpoints' registrations."""
 
+import ipaddress
 import re
 from collections.abc import Iterable
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -35,12 +36,24 @@
     'read_your_writes': Consistency.SESSION,
 }
 _DRAINING = 'draining'
+# A port as the platform writes it; ``int`` accepts other spellings.
+_PORT = re.compile('[1-9][0-9]{0,4}')
 _MAX_PORT = 65535
 # The characters that a field of the session protocol allows.
 _IDENTIFIER = re.compile('[!-~]+')
 _STATES = frozenset(('ready', _DRAINING))
 _ROLES = {'primary': True, 'replica': False}  # noqa: WPS407
 
+# Numbers beyond these limits do not fit into the messages between gateways.
+_MAX_COUNT = 65535
+_MAX_PRIORITY = 255
+_MAX_LARGE = (1 << 63) - 1  # noqa: WPS432
+_Number = Annotated[float, msgspec.Meta(ge=0)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_Priority = Annotated[int, msgspec.Meta(ge=0, le=_MAX_PRIORITY)]
+_Large = Annotated[int, msgspec.Meta(ge=0, le=_MAX_LARGE)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=_MAX_COUNT)]
+
 
 class _Route(msgspec.Struct):
     """A route; ``host`` is the database name in callers' startup requests."""
@@ -49,33 +62,33 @@
     host: str
     type: str
     service: str
-    timeout_ms: float
-    target_latency_ms: float = 0
-    priority: int = 0
-    max_staleness_ms: float = 0
+    timeout_ms: _Number
+    target_latency_ms: _Number = 0
+    priority: _Priority = 0
+    max_staleness_ms: _Number = 0
     public: bool = False
 
 
 class _Tenant(msgspec.Struct):
     name: str
     api_keys: list[str]
-    rate_per_s: float
-    burst: float
-    priority: int = 0
+    rate_per_s: _Number
+    burst: _Number
+    priority: _Priority = 0
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int
-    sync_replicas: int = 0
+    max_connections: _Count
+    sync_replicas: _Count = 0
 
 
 class _Limits(msgspec.Struct):
-    tx_idle_ms: float = 3000
+    tx_idle_ms: _Number = 3000
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Large
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -92,11 +105,11 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: _Slots
     state: str
     db_role: str
-    born: int = 0
-    seq: int = 0
+    born: _Large = 0
+    seq: _Large = 0
     cold_remaining_ms: float = 0
 
 
@@ -140,18 +153,17 @@
 
 def _convert_entry(endpoint_id: str, body: bytes) -> EndpointEntry:
     found = msgspec.json.decode(body, type=_Registration)
-    host, _, port = found.address.rpartition(':')
     if found.state not in _STATES or found.db_role not in _ROLES:
         raise ValueError('unknown state or role')
-    if not host or not 0 < int(port) <= _MAX_PORT:
-        raise ValueError('unusable address')
-    if not _IDENTIFIER.fullmatch(endpoint_id):
-        raise ValueError('unusable identifier')
+    host, port = _parse_address(found.address)
+    for name in (endpoint_id, found.service):
+        if not _IDENTIFIER.fullmatch(name):
+            raise ValueError('unusable identifier')
     return EndpointEntry(
         endpoint_id,
         found.service,
         host,
-        int(port),
+        port,
         found.zone,
         found.slots,
         found.state == _DRAINING,
@@ -161,6 +173,19 @@
     )
 
 
+def _parse_address(address: str) -> tuple[str, int]:
+    """Return the IP number and port of an endpoint.
+
+    Raises:
+        ValueError: The address has none; a name is not looked up, which would
+            hold up the process.
+    """
+    host, _, port = address.rpartition(':')
+    if not _PORT.fullmatch(port) or int(port) > _MAX_PORT:
+        raise ValueError('unusable port')
+    return str(ipaddress.ip_address(host)), int(port)
+
+
 def _convert_route(route: Any) -> Route:
     consistency = _CONSISTENCIES.get(route.type)
     if consistency is None:
@@ -187,8 +212,6 @@
     for one in tenants:
         if not _IDENTIFIER.fullmatch(one.name) or one.name in organisations:
             raise ValueError('unusable name of an organisation')
-        if one.rate_per_s < 0 or one.burst < 0:
-            raise ValueError('negative limit of {0}'.format(one.name))
         organisations[one.name] = Organisation(
             one.name, one.rate_per_s, one.burst, one.priority
         )
@@ -198,6 +221,8 @@
 def _digest_keys(tenants: Iterable[_Tenant]) -> dict[bytes, str]:
     keys: dict[bytes, str] = {}
     for one in tenants:
+        if '' in one.api_keys:
+            raise ValueError('an empty key of {0}'.format(one.name))
         for key in one.api_keys:
             digest = digest_key(key.encode('utf-8'))
             if keys.setdefault(digest, one.name) != one.name:
