Treat a primary that is registered for another group as unregistered

Cause: an entry of another writer with an unknown service made the lease holder and its peers probe the primary under that service, which it refuses; the primary would be replaced at once. Change: it counts as unregistered, which replaces it after 2.2 s. Its own entry is written again before that. Measured: tests/test_endpoint_incarnations.py: 26 passed. The extended test also passes without the change, as the stand-in's endpoints accept any service.

--- a/catkincrank/gateway/primarymonitor.py
+++ b/catkincrank/gateway/primarymonitor.py
@@ -158,7 +158,8 @@
     ) -> PrimaryObservation:
         now = anyio.current_time()
         entry = self._groups.roster.find(record.primary)
-        if entry is None:
+        # Another writer may have registered it for another group.
+        if entry is None or entry.service != record.service:
             return await self._observe_unregistered(record, history, now)
         is_same_start = entry.start == (record.primary, record.born_ms)
         if is_same_start:
--- a/tests/test_endpoint_incarnations.py
+++ b/tests/test_endpoint_incarnations.py
@@ -173,5 +173,9 @@
             await anyio.sleep(1.5)
             _register(fleet, born_ms=0)
             await anyio.sleep(1)
+            _register(fleet, service='other')
+            await anyio.sleep(1.5)
+            _register(fleet, service='svc')
+            await anyio.sleep(1)
 
     assert not _run(scenario).promotions
