Bind the gateway's sockets before importing it

Cause: the sockets were bound when the process could serve, after 0.5 s of processor time. On a VM with 0.12 of a core, callers were refused for four seconds. A process without a configuration also ignored SIGTERM.

The gateway takes over the sockets once it is initialised. A check or a caller open at that moment is served; one that has reset is dropped. SIGTERM before that closes them and removes the process's row.

--- a/catkincrank/gateway/countedstore.py
+++ b/catkincrank/gateway/countedstore.py
@@ -9,10 +9,11 @@
     Condition,
     Revision,
     RowStore,
+    row_stores,
 )
 from catkincrank.metrics import Metrics
 
-__all__ = ('CountedStore',)
+__all__ = ('CountedStore', 'open_store')
 
 _Answer = TypeVar('_Answer')
 
@@ -76,3 +77,14 @@
             return answer
         finally:
             self._calls.labels(kind, outcome).inc()
+
+
+def open_store(name: str, address: str, metrics: Metrics) -> CountedStore:
+    """Return the counted client of a store.
+
+    Args:
+        name: Registry name of the client.
+        address: Address of the store.
+        metrics: Metrics of the process.
+    """
+    return CountedStore(row_stores.find(name)(address), metrics)
--- a/catkincrank/gateway/daemon.py
+++ b/catkincrank/gateway/daemon.py
@@ -1,16 +1,18 @@
 """The gateway process: components, start-up and shutdown."""
 
 import signal
+import time
 from typing import final
 
 import anyio
 from anyio.abc import TaskGroup
 
+from catkincrank.earlylisteners import EarlyListeners
 from catkincrank.gateway.assembly import Adapter, FailoverComponents
 from catkincrank.gateway.carriermessages import CarryRequest
 from catkincrank.gateway.carrierservice import CarrierService
 from catkincrank.gateway.configurator import Configurator, PlatformSchema
-from catkincrank.gateway.countedstore import CountedStore
+from catkincrank.gateway.countedstore import open_store
 from catkincrank.gateway.drain import Drain
 from catkincrank.gateway.fleetmonitor import FleetMonitor
 from catkincrank.gateway.groups import Groups
@@ -20,7 +22,6 @@
 from catkincrank.gateway.primaryprover import PrimaryProver
 from catkincrank.gateway.requestpath import make_session_server
 from catkincrank.gateway.resilience import run_restarting
-from catkincrank.gateway.rowstore import row_stores
 from catkincrank.gateway.statusserver import StatusServer
 from catkincrank.gateway.storetables import StoreTables
 from catkincrank.logs import log_event
@@ -42,6 +43,8 @@
         adapter: Registry names of the implementations for the platform.
         schema: Names the platform's tables and decodes their rows.
         tasks: Task group that runs the components.
+        listeners: Accept connections until the process can serve; without
+            them, the addresses are bound when it can.
     """
 
     def __init__(
@@ -50,13 +53,12 @@
         adapter: Adapter,
         schema: PlatformSchema,
         tasks: TaskGroup,
+        listeners: EarlyListeners | None = None,
     ) -> None:
         self.options = options
         self.metrics = Metrics()
         self.groups = Groups()
-        store = CountedStore(
-            row_stores.find(adapter.store)(options.store), self.metrics
-        )
+        store = open_store(adapter.store, options.store, self.metrics)
         self.tables = StoreTables(store, options, schema, self.groups)
         self.link_provider = LinkProvider(
             link_drivers.find(adapter.endpoints)(),
@@ -97,6 +99,12 @@
             lambda: self.tables.fleet_state.members,
         )
         self._tasks = tasks
+        self._listeners = listeners
+
+    @property
+    def has_early_listeners(self) -> bool:
+        """Whether the sockets were bound before the process was imported."""
+        return self._listeners is not None
 
     @property
     def is_initialized(self) -> bool:
@@ -115,7 +123,8 @@
         """Run until the drain has finished."""
         self.tables.config.listen(self._configurator.apply_config)
         self.tables.roster.listen(self._configurator.apply_roster)
-        for served in (StatusServer(self), self.tables, self.failover):
+        status_server = StatusServer(self)
+        for served in (status_server, self.tables, self.failover):
             self._tasks.start_soon(served.run)
         for name, run in (
             ('links', self.link_provider.run),
@@ -124,12 +133,32 @@
             ('connection shares', self._share_connections),
         ):
             self._tasks.start_soon(run_restarting, name, run)
-        while not self.is_initialized:
+        while not (self.is_initialized or self.drain.is_started):
             await anyio.sleep(_READY_POLL_S)
-        log_event('ready', version=self.groups.catalog.version)
-        await self.drain.run()
+        if self.drain.is_started:
+            await self._stop_unready()
+        else:
+            await self._serve(status_server)
         self._tasks.cancel_scope.cancel()
 
+    async def _serve(self, status_server: StatusServer) -> None:
+        early = self._listeners and self._listeners.release()
+        if early is not None:
+            self._tasks.start_soon(status_server.serve_readiness, early)
+        log_event(
+            'ready',
+            version=self.groups.catalog.version,
+            waiting=len(early.connections) if early else 0,
+            cpu_s=round(time.process_time(), 3),
+        )
+        await self.drain.run(early)
+
+    async def _stop_unready(self) -> None:
+        """Stop a process that was told to before it could serve."""
+        if self._listeners is not None:
+            self._listeners.close()
+        await self.drain.run_unready()
+
     async def _share_connections(self) -> None:
         while True:
             await anyio.sleep(_SHARE_INTERVAL_S)
@@ -140,10 +169,11 @@
     options: GatewayOptions,
     adapter: Adapter,
     schema: PlatformSchema,
+    listeners: EarlyListeners | None = None,
 ) -> None:
     """Run a gateway until a signal has stopped it."""
     async with anyio.create_task_group() as tasks:
-        gateway = Gateway(options, adapter, schema, tasks)
+        gateway = Gateway(options, adapter, schema, tasks, listeners)
         tasks.start_soon(_watch_signals, gateway)
         await gateway.run()
 
--- a/catkincrank/gateway/drain.py
+++ b/catkincrank/gateway/drain.py
@@ -1,15 +1,21 @@
 """Accepts callers until the process drains, and lets open requests finish."""
 
 from collections.abc import Awaitable, Callable
+from socket import socket
 from typing import final
 
 import anyio
-from anyio.abc import Listener, TaskGroup
+from anyio.abc import Listener, SocketListener, SocketStream, TaskGroup
 
+from catkincrank.earlylisteners import (
+    CALLER_BACKLOG,
+    ReleasedSockets,
+)
 from catkincrank.gateway.carrierservice import CarrierService
 from catkincrank.gateway.options import GatewayOptions
 from catkincrank.gateway.sessionserver import SessionServer
 from catkincrank.logs import log_event
+from catkincrank.socketstreams import wrap_connection
 
 __all__ = ('Drain',)
 
@@ -72,26 +78,53 @@
                 'drain_started', callers=len(self._session_server.callers)
             )
 
-    async def run(self) -> None:
-        """Serve callers; return when the process may exit."""
-        address = self._options.callers
-        listener = await anyio.create_tcp_listener(
-            local_host=address.host,
-            local_port=address.port,
-            backlog=1024,
-        )
+    async def run(self, early: ReleasedSockets | None = None) -> None:
+        """Serve callers; return when the process may exit.
+
+        Args:
+            early: Sockets that have been open since the process started.
+        """
+        listener = await self._open_listener(early)
         async with anyio.create_task_group() as tasks:
             accepting = anyio.CancelScope()
             tasks.start_soon(self._accept, listener, accepting, tasks)
+            for connection in early.connections if early else ():
+                tasks.start_soon(self._serve_early, connection)
             self.is_listening = True
             await self._started.wait()
-            ends_at = (
-                anyio.current_time() + self._options.grace_s - _EXIT_MARGIN_S
-            )
+            ends_at = self._find_end()
             await anyio.sleep(min(_BALANCER_DELAY_S, self._options.grace_s / 2))
             accepting.cancel()
             await self._await_idle(ends_at)
             tasks.cancel_scope.cancel()
+        await self._finish()
+
+    async def run_unready(self) -> None:
+        """Drain a process that has not served callers."""
+        await self._await_idle(self._find_end())
+        await self._finish()
+
+    async def _open_listener(
+        self, early: ReleasedSockets | None
+    ) -> Listener[SocketStream]:
+        if early is not None:
+            return await SocketListener.from_socket(early.callers)
+        address = self._options.callers
+        return await anyio.create_tcp_listener(
+            local_host=address.host,
+            local_port=address.port,
+            backlog=CALLER_BACKLOG,
+        )
+
+    async def _serve_early(self, connection: socket) -> None:
+        stream = await wrap_connection(connection)
+        if stream is not None:
+            await self._session_server.serve(stream)
+
+    def _find_end(self) -> float:
+        return anyio.current_time() + self._options.grace_s - _EXIT_MARGIN_S
+
+    async def _finish(self) -> None:
         await self._leave()
         log_event('drain_finished', callers=len(self._session_server.callers))
 
--- a/catkincrank/gateway/statusserver.py
+++ b/catkincrank/gateway/statusserver.py
@@ -2,14 +2,18 @@
 
 import dataclasses
 from functools import partial
+from socket import socket
 from typing import TYPE_CHECKING, Any, final
 
 import anyio
 import msgspec
+from anyio.abc import SocketListener
 
+from catkincrank.earlylisteners import ReleasedSockets
 from catkincrank.gateway.tablecopy import TableCopy
 from catkincrank.httpserver import HttpRequest, HttpResponse, HttpServer
 from catkincrank.metrics import CONTENT_TYPE
+from catkincrank.socketstreams import wrap_connection
 
 if TYPE_CHECKING:
     from catkincrank.gateway.daemon import Gateway
@@ -27,16 +31,19 @@
         gateway: The gateway process.
     """
 
-    __slots__ = ('_gateway',)
+    __slots__ = ('_gateway', '_readiness')
 
     def __init__(self, gateway: 'Gateway') -> None:
         self._gateway = gateway
+        self._readiness = HttpServer({'GET /v1/ready': self._answer_ready})
         self._register_gauges()
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled.
+
+        With early listeners, readiness is served after ``serve_readiness``.
+        """
         options = self._gateway.options
-        readiness = HttpServer({'GET /v1/ready': self._answer_ready})
         status = HttpServer(
             {
                 'GET /metrics': self._render_metrics,
@@ -44,17 +51,31 @@
             },
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                readiness.serve,
-                options.readiness.host,
-                options.readiness.port,
-            )
+            if not self._gateway.has_early_listeners:
+                tasks.start_soon(
+                    self._readiness.serve,
+                    options.readiness.host,
+                    options.readiness.port,
+                )
             tasks.start_soon(
                 status.serve,
                 options.metrics.host,
                 options.metrics.port,
             )
 
+    async def serve_readiness(self, early: ReleasedSockets) -> None:
+        """Serve readiness checks on the sockets of early listeners."""
+        listener = await SocketListener.from_socket(early.readiness)
+        async with anyio.create_task_group() as tasks:
+            for check in early.checks:
+                tasks.start_soon(self._serve_check, check)
+            await self._readiness.serve_listener(listener)
+
+    async def _serve_check(self, check: socket) -> None:
+        stream = await wrap_connection(check)
+        if stream is not None:
+            await self._readiness.serve_stream(stream)
+
     def _register_gauges(self) -> None:
         """Register the gauges of the process."""
         gateway = self._gateway
--- a/catkincrank/httpserver.py
+++ b/catkincrank/httpserver.py
@@ -7,7 +7,7 @@
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream, TaskStatus
+from anyio.abc import Listener, SocketAttribute, SocketStream, TaskStatus
 from loguru import logger
 
 __all__ = ('HttpRequest', 'HttpResponse', 'HttpServer', 'Route')
@@ -93,12 +93,17 @@
             local_port=port,
             reuse_port=False,
         )
+        self.port = listener.extra(SocketAttribute.local_port)
+        task_status.started(self.port)
+        await self.serve_listener(listener)
+
+    async def serve_listener(self, listener: Listener[SocketStream]) -> None:
+        """Serve connections of an open listener until cancelled."""
         async with listener:
-            self.port = listener.extra(SocketAttribute.local_port)
-            task_status.started(self.port)
-            await listener.serve(self._handle)
+            await listener.serve(self.serve_stream)
 
-    async def _handle(self, stream: SocketStream) -> None:
+    async def serve_stream(self, stream: SocketStream) -> None:
+        """Serve one connection until it ends."""
         async with stream:
             try:
                 await self._serve_connection(stream)
--- a/catkincrank/platform/program.py
+++ b/catkincrank/platform/program.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 from typing import final
 
+from catkincrank.earlylisteners import EarlyListeners
 from catkincrank.gateway.daemon import run_gateway
 from catkincrank.platform import callers, documents, endpoints, promotion, store
 from catkincrank.platform.settings import SETTINGS_VARIABLE, read_settings
@@ -42,7 +43,15 @@
     settings: str = ''
 
 
-async def run(flags: GatewayFlags) -> None:
-    """Run a gateway until it is signalled to stop."""
+async def run(
+    flags: GatewayFlags,
+    listeners: EarlyListeners | None = None,
+) -> None:
+    """Run a gateway until it is signalled to stop.
+
+    Args:
+        flags: Options of the program.
+        listeners: Result of ``earlystart.prepare``.
+    """
     path = flags.settings or os.environ.get(SETTINGS_VARIABLE, '')
-    await run_gateway(read_settings(path), ADAPTER, DOCUMENTS)
+    await run_gateway(read_settings(path), ADAPTER, DOCUMENTS, listeners)
--- a/catkincrank/programs.py
+++ b/catkincrank/programs.py
@@ -80,9 +80,18 @@
         importlib.import_module(package)
 
 
-def run_program(name: str, arguments: Sequence[str]) -> int:
+def run_program(
+    name: str,
+    arguments: Sequence[str],
+    prepared: tuple[Any, ...] = (),
+) -> int:
     """Run a daemon until it is stopped; return its exit status.
 
+    Args:
+        name: Name of the daemon.
+        arguments: Command line after the name.
+        prepared: Further arguments of the daemon, made before its import.
+
     Raises:
         OptionError: An option is invalid; nothing was started.
     """
@@ -100,6 +109,6 @@
     backend = {}
     if program.is_suspend_aware:
         backend['loop_factory'] = SuspendAwareLoop
-    anyio.run(module.run, options, backend_options=backend)
+    anyio.run(module.run, options, *prepared, backend_options=backend)
     log_event('program_stopped', program=name)
     return 0
