Import what a gateway needs later only when it is used

Cause: until it serves the first statement, a gateway imported loguru, prometheus_client, pycapnp, argparse and the keepers' messages, and built the converters of all messages.

Change: metrics record their changes until they are read (or 2,000 changes of one, or 10 s); log lines are written by the same encoder without the logger until then; the message schema and converters are loaded with the first message; flags given as pairs are read without argparse; links.py no longer imports the keepers' messages, endpoint.py and logs.py import types only for type checking. The lines connection_refused, message_refused, link_closed and http_route_failed no longer have a second text beside the event.

The benchmark of the start uses ports outside the ephemeral range; two of its runs had failed because a connection had taken a port of the gateway.

--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -20,6 +20,7 @@
 from benchmarks.processcosts import measure_keeper
 from benchmarks.propagation import measure_leaving, measure_settings
 from benchmarks.result import Figures, check_bounds
+from benchmarks.startcosts import measure_start
 from benchmarks.trials import measure_failovers, measure_shares
 
 __all__ = ('main',)
@@ -48,6 +49,7 @@
     'settings': measure_settings,
     'leaving': measure_leaving,
     'control': _measure_control,
+    'start': measure_start,
 }
 
 
--- a/benchmarks/soak/program.py
+++ b/benchmarks/soak/program.py
@@ -14,7 +14,7 @@
 from catkincrank.errors import CatkincrankError
 from catkincrank.httpclient import HttpClient
 
-__all__ = ('Program',)
+__all__ = ('Program', 'find_ports')
 
 _HOST = '127.0.0.1'
 # Below the ephemeral ports, which the operating system assigns by itself.
@@ -94,7 +94,7 @@
     async def start(self) -> None:
         """Start the process on new ports."""
         self.incarnation += 1
-        ports = _find_ports()
+        ports = find_ports()
         self.port = ports[0]
         self._ready_port = ports[1]
         self.status_port = ports[3]
@@ -169,7 +169,7 @@
         return answer.body if answer.status == _OK else None
 
 
-def _find_ports() -> tuple[int, int, int, int]:
+def find_ports() -> tuple[int, int, int, int]:
     """Return four consecutive free ports."""
     while True:
         first = random.randrange(_FIRST_PORT, _LAST_PORT)
--- a/benchmarks/startcosts.py
+++ b/benchmarks/startcosts.py
@@ -9,7 +9,6 @@
 import json
 import os
 import re
-import socket
 import statistics
 import sys
 import tempfile
@@ -20,8 +19,10 @@
 from typing import Any, final
 
 import anyio
+from anyio.abc import Process
 
 from benchmarks.result import Figures
+from benchmarks.soak.program import find_ports
 from catkincrank.platform.documents import CONFIG_KEY, CONFIG_TABLE
 from catkincrank.platform.lines import LineReader
 from catkincrank.platform.standin import PlatformStandIn
@@ -106,7 +107,8 @@
     @contextlib.asynccontextmanager
     async def run_gateway(self, name: str) -> AsyncIterator[StartCost]:
         """Run a gateway; yield its cost once it has served a statement."""
-        ports = _find_ports()
+        names = ('callers', 'ready', 'peers', 'status')
+        ports = dict(zip(names, find_ports(), strict=True))
         settings = self._folder / '{0}.toml'.format(name)
         text = _SETTINGS.format(name=name, **ports, **self._platform.ports)
         await anyio.Path(settings).write_text(text)
@@ -124,11 +126,12 @@
             )
         try:
             with anyio.fail_after(_LIMIT_S):
-                await _call(ports['callers'])
+                await _call(ports['callers'], process)
             served_s = _read_cpu_s(process.pid)
             yield StartCost(_find_bound_s(log, ports['callers']), served_s)
         finally:
-            process.kill()
+            if process.returncode is None:
+                process.kill()
             with anyio.CancelScope(shield=True):
                 await process.wait()
 
@@ -183,9 +186,13 @@
     return costs
 
 
-async def _call(port: int) -> None:
-    """Return when a statement has been served."""
-    while True:
+async def _call(port: int, process: Process) -> None:
+    """Return when a statement has been served.
+
+    Raises:
+        ChildProcessError: The process has ended.
+    """
+    while process.returncode is None:
         try:
             async with await anyio.connect_tcp(_HOST, port) as stream:
                 await _run_statement(stream)
@@ -193,6 +200,7 @@
             await anyio.sleep(_RETRY_S)
         else:
             return
+    raise ChildProcessError('the gateway has ended')
 
 
 async def _run_statement(stream: Any) -> None:
@@ -222,24 +230,6 @@
     return float(found.group(1))
 
 
-def _find_ports() -> dict[str, int]:
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(3)]
-        callers, ready, peers = map(_bind_any, probes)
-    return {
-        'callers': callers,
-        'ready': ready,
-        'peers': peers,
-        # Internal ports are consecutive.
-        'status': peers + 1,
-    }
-
-
-def _bind_any(probe: socket.socket) -> int:
-    probe.bind((_HOST, 0))
-    return probe.getsockname()[1]
-
-
 def main() -> None:
     """Print the figures of several starts as JSON, in milliseconds."""
     parser = argparse.ArgumentParser(prog='benchmarks.startcosts')
--- a/catkincrank/endpoint.py
+++ b/catkincrank/endpoint.py
@@ -4,12 +4,14 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import final
+from typing import TYPE_CHECKING, final
 
-from catkincrank.history import LogMark
-from catkincrank.instance import Ballot, InstanceStatus
 from catkincrank.registry import Registry
 
+if TYPE_CHECKING:
+    from catkincrank.history import LogMark
+    from catkincrank.instance import Ballot, InstanceStatus
+
 __all__ = (
     'Answer',
     'Column',
@@ -164,15 +166,15 @@
         """Return the shape of a statement without running it."""
 
     @abstractmethod
-    async def commit(self) -> LogMark | None:
+    async def commit(self) -> 'LogMark | None':
         """Commit; return a mark at or after the transaction's end."""
 
     @abstractmethod
-    async def fetch_status(self) -> InstanceStatus:
+    async def fetch_status(self) -> 'InstanceStatus':
         """Return the instance's status."""
 
     @abstractmethod
-    async def seal(self, ballot: Ballot) -> InstanceStatus:
+    async def seal(self, ballot: 'Ballot') -> 'InstanceStatus':
         """Seal to ``ballot``: stop following and accept no older term's writes.
 
         The instance refuses if it is sealed to another ballot of this term or
@@ -181,7 +183,7 @@
         """
 
     @abstractmethod
-    async def promote(self, ballot: Ballot) -> InstanceStatus:
+    async def promote(self, ballot: 'Ballot') -> 'InstanceStatus':
         """Begin ``ballot.term`` as primary, if sealed to exactly that ballot.
 
         An instance that follows another is not promoted.
@@ -191,8 +193,8 @@
     async def follow(
         self,
         primary: EndpointAddress,
-        ballot: Ballot,
-    ) -> InstanceStatus:
+        ballot: 'Ballot',
+    ) -> 'InstanceStatus':
         """Stream from ``primary`` in ``ballot.term``.
 
         Records that the primary does not have are dropped.
--- a/catkincrank/envelope.py
+++ b/catkincrank/envelope.py
@@ -6,10 +6,9 @@
 schema version raises ``MessageError``.
 """
 
+import functools
 from pathlib import Path
-from typing import Any, Protocol, TypeVar
-
-import capnp
+from typing import Any, NamedTuple, Protocol, TypeVar
 
 from catkincrank.codec import build_reader, build_writer
 from catkincrank.errors import MessageError
@@ -29,9 +28,6 @@
 _SCHEMA_PATH = Path(__file__).parent / 'schema' / 'control.capnp'
 _MessageT = TypeVar('_MessageT', bound=type)
 
-capnp.remove_import_hook()
-_schema = capnp.load(str(_SCHEMA_PATH))
-
 
 class Message(Protocol):
     """Any message type registered in ``messages``."""
@@ -39,16 +35,15 @@
 
 messages: Registry[type[Any]] = Registry('message')
 _members: dict[type[Any], str] = {}
-_writers: dict[type[Any], Any] = {}
-_readers: dict[str, Any] = {}
-_ENCODE_ERRORS = (capnp.KjException, OverflowError, TypeError, ValueError)
-_DECODE_ERRORS = (
-    capnp.KjException,
-    KeyError,
-    RuntimeError,
-    TypeError,
-    ValueError,
-)
+_types: dict[str, type[Any]] = {}
+_find_writer = functools.cache(build_writer)
+_find_reader = functools.cache(build_reader)
+
+
+class _Library(NamedTuple):
+    schema: Any
+    encode_errors: tuple[type[Exception], ...]
+    decode_errors: tuple[type[Exception], ...]
 
 
 def register_message(member: str) -> Any:
@@ -56,8 +51,7 @@
 
     def decorate(message_type: _MessageT) -> _MessageT:  # noqa: WPS430
         _members[message_type] = member
-        _writers[message_type] = build_writer(message_type)
-        _readers[member] = build_reader(message_type)
+        _types[member] = message_type
         return messages.register(member)(message_type)
 
     return decorate
@@ -70,11 +64,12 @@
         MessageError: A field does not fit the schema.
     """
     message_type = type(message)
-    envelope = _schema.Envelope.new_message(version=SCHEMA_VERSION)
+    library = _load_library()
+    envelope = library.schema.Envelope.new_message(version=SCHEMA_VERSION)
     builder = envelope.init(_members[message_type])
     try:
-        _writers[message_type](builder, message)
-    except _ENCODE_ERRORS as error:
+        _find_writer(message_type)(builder, message)
+    except library.encode_errors as error:
         raise MessageError(str(error)) from error
     return envelope.to_bytes()
 
@@ -86,10 +81,11 @@
         MessageError: The bytes are not a complete message of a known schema
             version.
     """
+    library = _load_library()
     try:
-        with _schema.Envelope.from_bytes(body) as envelope:
+        with library.schema.Envelope.from_bytes(body) as envelope:
             return _read(envelope)
-    except _DECODE_ERRORS as error:
+    except library.decode_errors as error:
         reason = str(error).partition('\n')[0]
         raise MessageError(reason or repr(error)) from None
 
@@ -100,4 +96,18 @@
             'unsupported schema version {0}'.format(envelope.version)
         )
     member = str(envelope.which())
-    return _readers[member](getattr(envelope, member))
+    return _find_reader(_types[member])(getattr(envelope, member))
+
+
+@functools.cache
+def _load_library() -> _Library:
+    """Import the library and parse the schema, for the first message."""
+    import capnp  # noqa: WPS433
+
+    capnp.remove_import_hook()
+    errors = (capnp.KjException, TypeError, ValueError)
+    return _Library(
+        capnp.load(str(_SCHEMA_PATH)),
+        (*errors, OverflowError),
+        (*errors, KeyError, RuntimeError),
+    )
--- a/catkincrank/gateway/statusserver.py
+++ b/catkincrank/gateway/statusserver.py
@@ -1,6 +1,7 @@
 """Serves readiness checks, metrics and the state dump over HTTP."""
 
 import dataclasses
+import importlib
 from functools import partial
 from socket import socket
 from typing import TYPE_CHECKING, Any, final
@@ -12,6 +13,7 @@
 from catkincrank.earlylisteners import ReleasedSockets
 from catkincrank.gateway.tablecopy import TableCopy
 from catkincrank.httpserver import HttpRequest, HttpResponse, HttpServer
+from catkincrank.logs import start_logger
 from catkincrank.metrics import CONTENT_TYPE
 from catkincrank.socketstreams import wrap_connection
 
@@ -21,6 +23,11 @@
 __all__ = ('StatusServer',)
 
 _UNAVAILABLE = 503
+# Libraries that only monitoring needs are imported after this time, when a
+# process has usually served its first callers. In a thread, as an import takes
+# a slow VM longer than a statement may take.
+_LATER_IMPORTS_S = 10
+_LATER_LIBRARIES = ('loguru', 'prometheus_client')
 
 
 @final
@@ -57,6 +64,7 @@
                     options.readiness.host,
                     options.readiness.port,
                 )
+            tasks.start_soon(self._import_libraries)
             tasks.start_soon(
                 status.serve,
                 options.metrics.host,
@@ -76,6 +84,15 @@
         if stream is not None:
             await self._readiness.serve_stream(stream)
 
+    async def _import_libraries(self) -> None:
+        await anyio.sleep(_LATER_IMPORTS_S)
+        for library in _LATER_LIBRARIES:
+            await anyio.to_thread.run_sync(  # noqa: WPS476
+                importlib.import_module, library
+            )
+        start_logger()
+        self._gateway.metrics.load()
+
     def _register_gauges(self) -> None:
         """Register the gauges of the process."""
         gateway = self._gateway
--- a/catkincrank/httpserver.py
+++ b/catkincrank/httpserver.py
@@ -8,7 +8,8 @@
 import anyio
 import h11
 from anyio.abc import Listener, SocketAttribute, SocketStream, TaskStatus
-from loguru import logger
+
+from catkincrank.logs import log_event
 
 __all__ = ('HttpRequest', 'HttpResponse', 'HttpServer', 'Route')
 
@@ -136,7 +137,7 @@
         try:
             return await route(request)
         except Exception as error:
-            logger.bind(path=request.path).error('http_route_failed')
+            log_event('http_route_failed', 'ERROR', path=request.path)
             text = type(error).__name__.encode('utf-8')
             return HttpResponse(text, _SERVER_ERROR, 'text/plain')
 
--- a/catkincrank/links.py
+++ b/catkincrank/links.py
@@ -12,17 +12,12 @@
 import anyio
 from anyio.abc import AnyByteStream, TaskStatus
 from anyio.streams.buffered import BufferedByteReceiveStream
-from loguru import logger
 
+from catkincrank.envelope import Message, decode_message, encode_message
 from catkincrank.errors import CatkincrankError, MessageError
 from catkincrank.keepalive import has_ended
+from catkincrank.linkmessages import Heartbeat
 from catkincrank.logs import log_event
-from catkincrank.messages import (
-    Heartbeat,
-    Message,
-    decode_message,
-    encode_message,
-)
 
 __all__ = ('Link', 'LinkClosedError', 'dial', 'listen')
 
@@ -261,14 +256,11 @@
             await handle(link)
             tasks.cancel_scope.cancel()
     except* LinkClosedError as closed:
-        logger.bind(event='link_closed', cause=str(closed.exceptions[0])).debug(
-            'link closed',
-        )
+        log_event('link_closed', 'DEBUG', cause=str(closed.exceptions[0]))
     except* MessageError as invalid:
-        logger.bind(
-            event='message_refused',
-            cause=str(invalid.exceptions[0]),
-        ).warning('invalid message; link closed')
+        log_event(
+            'message_refused', 'WARNING', cause=str(invalid.exceptions[0])
+        )
     except* Exception as failed:
         log_event('link_failed', 'ERROR', cause=repr(failed.exceptions[0]))
     finally:
--- a/catkincrank/messages.py
+++ b/catkincrank/messages.py
@@ -13,6 +13,7 @@
     register_message,
 )
 from catkincrank.instance import Observation
+from catkincrank.linkmessages import Heartbeat
 from catkincrank.settingsmessages import (
     SettingsDelta,
     SettingsDigest,
@@ -65,21 +66,6 @@
     incarnation: str
 
 
-@register_message('heartbeat')
-@final
-@dataclass(frozen=True, slots=True)
-class Heartbeat:
-    """Shows that the sender is alive while it sends no other message.
-
-    Attributes:
-        name: Name of the sender.
-        sequence: Number of the heartbeat on its link.
-    """
-
-    name: str
-    sequence: int
-
-
 @register_message('probe')
 @final
 @dataclass(frozen=True, slots=True)
--- a/catkincrank/options.py
+++ b/catkincrank/options.py
@@ -7,13 +7,12 @@
 of daemons small.
 """
 
-import argparse
 import dataclasses
 import inspect
 import re
 import typing
 from collections.abc import Mapping, Sequence
-from typing import Any, NoReturn, TypeVar, final
+from typing import Any, NoReturn, TypeVar
 
 import msgspec
 
@@ -48,11 +47,13 @@
     Raises:
         OptionError: A flag is unknown, missing or has an invalid value.
     """
-    given = _make_parser(kind).parse_args(list(arguments))
+    given = _parse_pairs(kind, arguments)
+    if given is None:
+        given = _make_parser(kind).parse_args(list(arguments)).__dict__
     hints = typing.get_type_hints(kind)
     chosen: dict[str, Any] = {}
     for field in dataclasses.fields(kind):
-        text = getattr(given, field.name)
+        text = given.get(field.name)
         if text is None:
             text = environment.get(variable_name(field.name))
         if text is not None:
@@ -92,18 +93,36 @@
         raise OptionError(option, text, _describe(error)) from None
 
 
-@final
-class _Parser(argparse.ArgumentParser):
-    def error(self, message: str) -> NoReturn:
-        raise OptionError(
-            self.prog,
-            message,
-            'the flags that --help lists',
-        )
+def _parse_pairs(
+    kind: type[Any], arguments: Sequence[str]
+) -> dict[str, str] | None:
+    """Return the flags if each is followed by its value.
+
+    Returns ``None`` for all else: help, errors and other forms are left to the
+    parser, whose import takes longer than those of several modules.
+    """
+    fields = {
+        _flag_name(one.name): one.name for one in dataclasses.fields(kind)
+    }
+    flags, values = arguments[::2], arguments[1::2]
+    is_plain = len(flags) == len(values) and fields.keys() >= set(flags)
+    if not is_plain or any(text.startswith('-') for text in values):
+        return None
+    return {fields[flag]: text for flag, text in zip(flags, values)}
 
 
-def _make_parser(kind: type[Any]) -> _Parser:
-    parser = _Parser(
+def _make_parser(kind: type[Any]) -> Any:
+    import argparse  # noqa: WPS433
+
+    class Parser(argparse.ArgumentParser):  # noqa: WPS431
+        def error(self, message: str) -> NoReturn:
+            raise OptionError(
+                self.prog,
+                message,
+                'the flags that --help lists',
+            )
+
+    parser = Parser(
         prog='catkincrank {0}'.format(
             kind.__name__.removesuffix('Flags').lower(),
         ),
--- a/catkincrank/poolrunner.py
+++ b/catkincrank/poolrunner.py
@@ -5,11 +5,11 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from loguru import logger
 
 from catkincrank.endpoint import StatementError
 from catkincrank.errors import EndpointError
 from catkincrank.fairqueue import QueueEntry
+from catkincrank.logs import log_event
 from catkincrank.pool import EndpointPool
 from catkincrank.poolactions import (
     Close,
@@ -215,11 +215,11 @@
         """Log the first of several consecutive failures."""
         if self.pool.failures:
             return
-        logger.bind(
-            event='connection_refused',
+        log_event(
+            'connection_refused',
             endpoint=self.pool.endpoint,
             cause=str(error),
-        ).info('endpoint could not be reached')
+        )
 
     async def _close(self, connection_id: int) -> None:
         connection = self._connections.pop(connection_id, None)
--- a/catkincrank/programs.py
+++ b/catkincrank/programs.py
@@ -11,7 +11,11 @@
 
 from catkincrank.clock import SuspendAwareLoop
 from catkincrank.logpipe import LogPipe
-from catkincrank.logs import configure_logs, log_event
+from catkincrank.logs import (
+    configure_early_logs,
+    configure_logs,
+    log_event,
+)
 from catkincrank.options import parse_options
 
 __all__ = (
@@ -102,7 +106,7 @@
         load_variants()
     source = getattr(options, 'name', '') or name
     if program.logs_to_output:
-        configure_logs(source, LogPipe(sys.stdout.fileno()))
+        configure_early_logs(source, LogPipe(sys.stdout.fileno()))
     else:
         configure_logs(source)
     log_event('program_started', program=name, process_id=os.getpid())
--- a/tests/gatewayprocess.py
+++ b/tests/gatewayprocess.py
@@ -8,11 +8,11 @@
 
 import anyio
 
+from benchmarks.soak.program import find_ports
 from catkincrank.platform.documents import CONFIG_KEY, CONFIG_TABLE
 from catkincrank.platform.standin import PlatformStandIn
 from catkincrank.platform.trial import ENDPOINTS, SERVICE, make_config
 from catkincrank.standins.memoryendpoints import MemoryEndpointGroup
-from tests.test_gateway_drain import find_port
 
 ROOT = Path(__file__).parent.parent
 HOST = '127.0.0.1'
@@ -40,15 +40,8 @@
     """A gateway process with its own ports."""
 
     def __init__(self, folder, ports):
-        # Internal ports are consecutive.
-        peers = find_port()
-        self.ports = {
-            **ports,
-            'callers': find_port(),
-            'ready': find_port(),
-            'peers': peers,
-            'status': peers + 1,
-        }
+        names = ('callers', 'ready', 'peers', 'status')
+        self.ports = {**ports, **dict(zip(names, find_ports()))}
         self.settings = folder / 'settings.toml'
         self.settings.write_text(SETTINGS.format(**self.ports))
         self.log = folder / 'log'
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -4,7 +4,14 @@
 import pytest
 
 from catkincrank.journal import Event, Journal
-from catkincrank.logs import EventRecorder, configure_logs, log_event, redact
+from catkincrank.logs import (
+    EventRecorder,
+    configure_early_logs,
+    configure_logs,
+    log_event,
+    redact,
+    start_logger,
+)
 
 
 @pytest.mark.parametrize(
@@ -31,3 +38,24 @@
     assert (started['port'], started['braces']) == (7, '{x}<red>')
     assert started['password'] == '***'
     assert (seal['subject'], seal['source']) == ('a/b', 'keeper-1')
+
+
+class Unwritable:
+    def __str__(self):
+        raise RuntimeError
+
+
+def test_lines_before_the_logger_is_imported_are_the_same_and_end_no_task():
+    early, late = io.StringIO(), io.StringIO()
+    configure_early_logs('vm', early)
+    log_event('one', 'WARNING', port=7, password='hidden')
+    log_event('two', 'DEBUG')
+    log_event('three', broken=Unwritable())
+    start_logger()
+    configure_logs('vm', late)
+    log_event('one', 'WARNING', port=7, password='hidden')
+    found = [json.loads(line) for line in early.getvalue().splitlines()]
+    expected = json.loads(late.getvalue())
+    assert [line['event'] for line in found] == ['one', 'three']
+    assert list(found[0]) == list(expected)
+    assert {**found[0], 'time': 0} == {**expected, 'time': 0}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -261,7 +261,7 @@
     Ports are free when they are chosen, but another process may bind them
     before the gateway does.
     """
-    find_ports = program._find_ports
+    find_ports = program.find_ports
     with socket.socket() as taken:
         taken.bind(('127.0.0.1', 0))
         taken.listen()
@@ -269,7 +269,7 @@
         choices = [(first, *find_ports()[:3])]
         monkeypatch.setattr(
             program,
-            '_find_ports',
+            'find_ports',
             lambda: choices.pop() if choices else find_ports(),
         )
         monkeypatch.setattr(testbed, '_START_TIMEOUT_S', 20)
