--- a/catkincrank/gateway/organisations/directory.py
+++ b/catkincrank/gateway/organisations/directory.py
@@ -57,15 +57,15 @@
     def is_valid(self, session: Session, route: Route | None) -> bool:
         """Return whether a session's key still belongs to its organisation.
 
-        A session without an organisation, and without an open transaction,
-        joins the organisation that its key was added to: its key was not
-        withdrawn, and its next statement gets a link of that organisation.
+        Without an open transaction, a session joins the organisation that holds
+        its key now: the key was not withdrawn, and the next statement gets a
+        link of that organisation.
         """
         if not self.requires_keys:
             if session.transaction is None:
                 session.organisation = ''
             return True
         found = self.resolve(route, session.credential)
-        if found and not session.organisation and session.transaction is None:
+        if found and session.transaction is None:
             session.organisation = found
         return found == session.organisation
--- a/catkincrank/gateway/statusserver.py
+++ b/catkincrank/gateway/statusserver.py
@@ -1,15 +1,21 @@
 """Serves readiness checks, metrics and the state dump over HTTP."""
 
 import dataclasses
+import importlib
 from functools import partial
+from socket import socket
 from typing import TYPE_CHECKING, Any, final
 
 import anyio
 import msgspec
+from anyio.abc import SocketListener
 
+from catkincrank.earlylisteners import ReleasedSockets
 from catkincrank.gateway.tablecopy import TableCopy
 from catkincrank.httpserver import HttpRequest, HttpResponse, HttpServer
+from catkincrank.logs import start_logger
 from catkincrank.metrics import CONTENT_TYPE
+from catkincrank.socketstreams import wrap_connection
 
 if TYPE_CHECKING:
     from catkincrank.gateway.daemon import Gateway
@@ -17,6 +23,11 @@
 __all__ = ('StatusServer',)
 
 _UNAVAILABLE = 503
+# Libraries that only monitoring needs are imported after this time, when a
+# process has usually served its first callers. In a thread, as an import takes
+# a slow VM longer than a statement may take.
+_LATER_IMPORTS_S = 10
+_LATER_LIBRARIES = ('loguru', 'prometheus_client')
 
 
 @final
@@ -27,16 +38,19 @@
         gateway: The gateway process.
     """
 
-    __slots__ = ('_gateway',)
+    __slots__ = ('_gateway', '_readiness')
 
     def __init__(self, gateway: 'Gateway') -> None:
         self._gateway = gateway
+        self._readiness = HttpServer({'GET /v1/ready': self._answer_ready})
         self._register_gauges()
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled.
+
+        With early listeners, readiness is served after ``serve_readiness``.
+        """
         options = self._gateway.options
-        readiness = HttpServer({'GET /v1/ready': self._answer_ready})
         status = HttpServer(
             {
                 'GET /metrics': self._render_metrics,
@@ -44,17 +58,41 @@
             },
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                readiness.serve,
-                options.readiness.host,
-                options.readiness.port,
-            )
+            if not self._gateway.has_early_listeners:
+                tasks.start_soon(
+                    self._readiness.serve,
+                    options.readiness.host,
+                    options.readiness.port,
+                )
+            tasks.start_soon(self._import_libraries)
             tasks.start_soon(
                 status.serve,
                 options.metrics.host,
                 options.metrics.port,
             )
 
+    async def serve_readiness(self, early: ReleasedSockets) -> None:
+        """Serve readiness checks on the sockets of early listeners."""
+        listener = await SocketListener.from_socket(early.readiness)
+        async with anyio.create_task_group() as tasks:
+            for check in early.checks:
+                tasks.start_soon(self._serve_check, check)
+            await self._readiness.serve_listener(listener)
+
+    async def _serve_check(self, check: socket) -> None:
+        stream = await wrap_connection(check)
+        if stream is not None:
+            await self._readiness.serve_stream(stream)
+
+    async def _import_libraries(self) -> None:
+        await anyio.sleep(_LATER_IMPORTS_S)
+        for library in _LATER_LIBRARIES:
+            await anyio.to_thread.run_sync(  # noqa: WPS476
+                importlib.import_module, library
+            )
+        start_logger()
+        self._gateway.metrics.load()
+
     def _register_gauges(self) -> None:
         """Register the gauges of the process."""
         gateway = self._gateway
--- a/catkincrank/httpserver.py
+++ b/catkincrank/httpserver.py
@@ -7,8 +7,9 @@
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream, TaskStatus
-from loguru import logger
+from anyio.abc import Listener, SocketAttribute, SocketStream, TaskStatus
+
+from catkincrank.logs import log_event
 
 __all__ = ('HttpRequest', 'HttpResponse', 'HttpServer', 'Route')
 
@@ -93,12 +94,17 @@
             local_port=port,
             reuse_port=False,
         )
+        self.port = listener.extra(SocketAttribute.local_port)
+        task_status.started(self.port)
+        await self.serve_listener(listener)
+
+    async def serve_listener(self, listener: Listener[SocketStream]) -> None:
+        """Serve connections of an open listener until cancelled."""
         async with listener:
-            self.port = listener.extra(SocketAttribute.local_port)
-            task_status.started(self.port)
-            await listener.serve(self._handle)
+            await listener.serve(self.serve_stream)
 
-    async def _handle(self, stream: SocketStream) -> None:
+    async def serve_stream(self, stream: SocketStream) -> None:
+        """Serve one connection until it ends."""
         async with stream:
             try:
                 await self._serve_connection(stream)
@@ -131,7 +137,7 @@
         try:
             return await route(request)
         except Exception as error:
-            logger.bind(path=request.path).error('http_route_failed')
+            log_event('http_route_failed', 'ERROR', path=request.path)
             text = type(error).__name__.encode('utf-8')
             return HttpResponse(text, _SERVER_ERROR, 'text/plain')
 
--- a/catkincrank/platform/tenants.py
+++ b/catkincrank/platform/tenants.py
@@ -123,11 +123,7 @@
         known = names.setdefault(one.name, place)
         if known != place:
             yield '{0}.name: the same as {1}.name'.format(place, known)
-        for limit in _NOT_NEGATIVE:
-            if getattr(one, limit) < 0:
-                yield '{0}.{1}: negative'.format(place, limit)
-        if one.priority > _MAX_PRIORITY:
-            yield '{0}.priority: above {1}'.format(place, _MAX_PRIORITY)
+        yield from _list_number_faults(one, place)
         yield from _list_key_faults(one, place)
     for place, known, is_same_owner in _find_repetitions(tenants):
         if not is_same_owner:
@@ -144,6 +140,14 @@
             yield '{0}: the same key as {1}'.format(place, known)
 
 
+def _list_number_faults(tenant: Tenant, place: str) -> Iterator[str]:
+    for limit in _NOT_NEGATIVE:
+        if getattr(tenant, limit) < 0:
+            yield '{0}.{1}: negative'.format(place, limit)
+    if tenant.priority > _MAX_PRIORITY:
+        yield '{0}.priority: above {1}'.format(place, _MAX_PRIORITY)
+
+
 def _list_key_faults(tenant: Tenant, place: str) -> Iterator[str]:
     if tenant.api_keys is None and tenant.key_digests is None:
         yield '{0}.api_keys: missing'.format(place)
--- a/catkincrank/programs.py
+++ b/catkincrank/programs.py
@@ -11,7 +11,11 @@
 
 from catkincrank.clock import SuspendAwareLoop
 from catkincrank.logpipe import LogPipe
-from catkincrank.logs import configure_logs, log_event
+from catkincrank.logs import (
+    configure_early_logs,
+    configure_logs,
+    log_event,
+)
 from catkincrank.options import parse_options
 
 __all__ = (
@@ -80,9 +84,18 @@
         importlib.import_module(package)
 
 
-def run_program(name: str, arguments: Sequence[str]) -> int:
+def run_program(
+    name: str,
+    arguments: Sequence[str],
+    prepared: tuple[Any, ...] = (),
+) -> int:
     """Run a daemon until it is stopped; return its exit status.
 
+    Args:
+        name: Name of the daemon.
+        arguments: Command line after the name.
+        prepared: Further arguments of the daemon, made before its import.
+
     Raises:
         OptionError: An option is invalid; nothing was started.
     """
@@ -93,13 +106,13 @@
         load_variants()
     source = getattr(options, 'name', '') or name
     if program.logs_to_output:
-        configure_logs(source, LogPipe(sys.stdout.fileno()))
+        configure_early_logs(source, LogPipe(sys.stdout.fileno()))
     else:
         configure_logs(source)
     log_event('program_started', program=name, process_id=os.getpid())
     backend = {}
     if program.is_suspend_aware:
         backend['loop_factory'] = SuspendAwareLoop
-    anyio.run(module.run, options, backend_options=backend)
+    anyio.run(module.run, options, *prepared, backend_options=backend)
     log_event('program_stopped', program=name)
     return 0
