Let shares outlast outages, for small limits as well

Shares lived 10 s, organisations with small limits had none and needed an answer of the holder for each operation, and after a power loss a new holder took all for given out for 13 s. Change: shares live 30 s; a share for less than one operation is rounded up to one, for a bounded number of VMs; the heartbeat's row tells when a member was last removed, so that a new holder knows at once that only members can hold shares; a holder whose VM held the lease before does not wait for its own earlier process. The allowance of a new holder is 7 operations instead of 17, as rounded shares use up to 11 of the tolerated 20. The metrics that are deferred until they are read can be set and cleared.

--- a/catkincrank/gateway/failoverlease.py
+++ b/catkincrank/gateway/failoverlease.py
@@ -13,6 +13,7 @@
 from catkincrank.gateway.fleetrecords import (
     FLEET_TABLE,
     HEARTBEAT_KEY,
+    encode_record,
 )
 from catkincrank.gateway.fleetstate import FleetState
 from catkincrank.gateway.grants import GRANT_DURATION_S
@@ -59,6 +60,9 @@
             was restored is complete, so that their rows may be confirmed.
         knows_all: Whether no other process held the lease just before that.
         is_first: Whether no process held the lease before.
+        is_succeeding_itself: Whether a process of this VM that has ended held
+            the lease before, in the same era.
+        is_first_of_era: Whether it was taken over in an earlier era before.
         taken_at: When the last takeover was known to have been written.
     """
 
@@ -75,7 +79,9 @@
         '_taken_over',
         'held',
         'is_first',
+        'is_first_of_era',
         'is_settled',
+        'is_succeeding_itself',
         'knows_all',
         'may_confirm',
         'taken_at',
@@ -103,6 +109,8 @@
         self.may_confirm = False
         self.knows_all = False
         self.is_first = False
+        self.is_first_of_era = False
+        self.is_succeeding_itself = False
         self.taken_at: float = 0
 
     @property
@@ -222,6 +230,10 @@
         held = takeover.held
         self.held = held
         self.is_first = takeover.is_first
+        self.is_first_of_era = takeover.is_first_of_era
+        self.is_succeeding_itself = not (
+            takeover.previous or takeover.is_first_of_era
+        )
         self.taken_at = anyio.current_time()
         self.is_settled = False
         self.may_confirm = False
@@ -274,7 +286,9 @@
         revision = copy.revision
         try:
             written = await self._store.write(
-                FLEET_TABLE, held.conditions, {HEARTBEAT_KEY: b'{}'}
+                FLEET_TABLE,
+                held.conditions,
+                {HEARTBEAT_KEY: encode_record(self._fleet.make_heartbeat())},
             )
         except ConflictError:
             if self.held is held:
--- a/catkincrank/gateway/fleetrecords.py
+++ b/catkincrank/gateway/fleetrecords.py
@@ -11,9 +11,11 @@
     'HEARTBEAT_KEY',
     'HOLDER_KEY',
     'GroupRecord',
+    'HeartbeatRecord',
     'HolderRecord',
     'MemberRecord',
     'decode_group',
+    'decode_heartbeat',
     'decode_holder',
     'decode_member',
     'encode_record',
@@ -51,6 +53,18 @@
     era: int = 0
 
 
+@final
+class HeartbeatRecord(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Heartbeat of the lease holder.
+
+    Attributes:
+        pruned_s: Time since a holder last removed the row of a member that did
+            not answer, in seconds; ``None`` if unknown.
+    """
+
+    pruned_s: float | None = None
+
+
 @final
 class MemberRecord(msgspec.Struct, frozen=True):
     """A member of the fleet: a process that may hold grants.
@@ -175,6 +189,11 @@
     return msgspec.json.decode(body, type=GroupRecord)
 
 
+def decode_heartbeat(body: bytes) -> HeartbeatRecord:
+    """Decode the row of the holder's heartbeat."""
+    return msgspec.json.decode(body, type=HeartbeatRecord)
+
+
 def decode_member(body: bytes) -> MemberRecord:
     """Decode the row of a member."""
     return msgspec.json.decode(body, type=MemberRecord)
--- a/catkincrank/gateway/fleetstate.py
+++ b/catkincrank/gateway/fleetstate.py
@@ -10,9 +10,11 @@
     HEARTBEAT_KEY,
     HOLDER_KEY,
     GroupRecord,
+    HeartbeatRecord,
     HolderRecord,
     MemberRecord,
     decode_group,
+    decode_heartbeat,
     decode_holder,
     decode_member,
     group_key,
@@ -32,7 +34,7 @@
 
 
 @final
-class FleetState:
+class FleetState:  # noqa: WPS214
     """State of the fleet's table.
 
     Args:
@@ -53,6 +55,8 @@
         own_member: Row of this process.
         member_removed_at: When the last removal of a member's row was seen;
             initially the start of this process, which may have missed one.
+        pruned_at: Latest time at which a lease holder may have removed the row
+            of a member that did not answer, in seconds.
     """
 
     __slots__ = (
@@ -68,6 +72,7 @@
         'member_removed_at',
         'members',
         'own_member',
+        'pruned_at',
         'records',
     )
 
@@ -86,6 +91,7 @@
         self.holder: tuple[Revision, HolderRecord] | None = None
         self.holder_heartbeat_at: float = 0
         self.member_removed_at = anyio.current_time()
+        self.pruned_at = self.member_removed_at
         self.heartbeats = Heartbeats()
         self._era = 0
         self._tree: ReadingTree | None = None
@@ -150,6 +156,11 @@
             member for member in self.list_others() if member.name not in heard
         ]
 
+    def make_heartbeat(self) -> HeartbeatRecord:
+        """Return the heartbeat that the lease holder writes."""
+        pruned_s = anyio.current_time() - self.pruned_at
+        return HeartbeatRecord(max(0, round(pruned_s, 3)))
+
     def apply_changes(self, changed: tuple[RowChange, ...]) -> None:
         """Apply changed rows of the table."""
         if self.era > self._era:
@@ -178,7 +189,7 @@
 
     def _apply_row(self, row: RowChange) -> None:
         if row.key == HEARTBEAT_KEY:
-            self.holder_heartbeat_at = anyio.current_time()
+            self._apply_heartbeat(row)
         elif row.key == HOLDER_KEY:
             self._apply_holder(row)
         elif is_member_key(row.key):
@@ -186,6 +197,15 @@
         elif is_group_key(row.key):
             self._apply_group(row)
 
+    def _apply_heartbeat(self, row: RowChange) -> None:
+        now = anyio.current_time()
+        self.holder_heartbeat_at = now
+        heartbeat = decode_heartbeat(row.body or b'{}')
+        if heartbeat.pruned_s is not None:
+            # The row was written before it was read, so that the removal was
+            # no later than this.
+            self.pruned_at = now - heartbeat.pruned_s
+
     def _apply_holder(self, row: RowChange) -> None:
         self._tree = None
         self.holder_heartbeat_at = anyio.current_time()
--- a/catkincrank/gateway/organisations/allocator.py
+++ b/catkincrank/gateway/organisations/allocator.py
@@ -16,6 +16,7 @@
 )
 from catkincrank.gateway.organisations.shareholder import (
     DEMAND_PERIOD_S,
+    DIVIDED,
     find_capacity,
 )
 
@@ -32,19 +33,26 @@
 _DRIFT = 1.02
 _COUNTED_SHARE_S = SHARE_LIFETIME_S * _DRIFT
 _COUNTED_TOKEN_S = TOKEN_LIFETIME_S * _DRIFT
-# Part of a limit that is divided into shares. The rest is given out as tokens
-# to VMs without a share, and is free for a new holder immediately.
-_DIVIDED = 0.8
 # A share has at most this many times the rate that its VM demands, so that the
 # rest of the limit stays where any VM can get it.
 _MAX_SHARE_PER_DEMAND = 2.0
-# A VM with few operations gets tokens instead of a share of this size or more:
-# the share would be missing elsewhere until it is given up.
+# A VM with few operations gets a share of at most this size: a greater one
+# would be missing elsewhere until it is given up.
 _MIN_DEMAND_PER_S = 1.5
 _SMALL_SHARE = 0.05
+# A share for less than one operation is rounded up to one at its VM. This many
+# shares, and a part of what the limit admits in a window, bound what that adds;
+# the rules tolerate 20 operations and a tenth.
+_ROUNDED_SHARES = 10
+_ROUNDED_PART = 0.05
+_WINDOW_S = 5.0
+# Part of what the demand leaves of a limit that all such shares may take; the
+# rest stays where any VM can get it.
+_ROUNDED_SPARE = 0.3
 # While a new holder does not know all shares it gives out this many operations
-# beyond its part: 15 and 2 in a window of 5 s, of the 20 that are tolerated.
-_ALLOWANCE_PER_S = 3.0
+# beyond its part: 5 and 2 in a window of 5 s, of the 20 that are tolerated.
+# Rounded shares take up to 11 of these.
+_ALLOWANCE_PER_S = 1.0
 _ALLOWANCE = 2.0
 # A limit is used up if the demand exceeds it by the first factor and the tokens
 # do not accrue while operations wait, or by the second; demands are estimates.
@@ -191,25 +199,45 @@
             self.holdings[process] = holding
         return holding
 
-    def choose_share(self, demand: float, others: float, most: float) -> float:
+    def choose_share(
+        self, demand: float, others: float, rounded: int, most: float
+    ) -> float:
         """Return the share of a process.
 
         Args:
             demand: Its demand.
             others: Sum of the shares that others may hold.
+            rounded: Number of these that are rounded up.
             most: Sum of all shares that may be held.
         """
         if demand <= 0:
             return 0
         share = min(
-            _DIVIDED * demand / max(demand, self.demand),
+            DIVIDED * demand / max(demand, self.demand),
             _MAX_SHARE_PER_DEMAND * demand / max(1, self.limit.rate_per_s),
             max(0, most - others),
         )
-        if share * find_capacity(self.limit) < 1:
-            return 0
-        is_rare = demand < _MIN_DEMAND_PER_S and share > _SMALL_SHARE
-        return 0 if is_rare else share
+        if demand < _MIN_DEMAND_PER_S:
+            share = min(share, _SMALL_SHARE)
+        if not self._is_rounded(share):
+            return share
+        spare = 1 - self.demand / max(1, self.limit.rate_per_s)
+        share = min(share, spare * _ROUNDED_SPARE / self._most_rounded)
+        has_room = 0 < share <= most - others
+        return share if has_room and rounded < self._most_rounded else 0
+
+    def count_rounded(self, process: _Process, now: float) -> int:
+        """Return how many other processes may hold a share rounded up."""
+        return sum(
+            self._is_rounded(share)
+            for other, holding in self.holdings.items()
+            if other != process and (share := holding.find_share(now))
+        )
+
+    def keep_share(self, share: float, others: float, most: float) -> float:
+        """Return what a process may keep of its share."""
+        kept = min(share, max(0, most - others))
+        return kept if kept == share or not self._is_rounded(kept) else 0
 
     def shape_reserve(self, free: float, allowance: float, now: float) -> None:
         """Set the rate and capacity of the reserve.
@@ -258,6 +286,16 @@
         is_far = missing > self._reserve.rate * TOKEN_LIFETIME_S
         return is_far and self.demand >= rate * _EXHAUSTED_FACTOR
 
+    def _is_rounded(self, share: float) -> bool:
+        """Return whether a share is for less than one operation."""
+        return share * find_capacity(self.limit) < 1
+
+    @property
+    def _most_rounded(self) -> int:
+        capacity = find_capacity(self.limit)
+        in_window = self.limit.rate_per_s * _WINDOW_S + capacity
+        return _ROUNDED_SHARES + int(in_window * _ROUNDED_PART)
+
 
 @final
 class QuotaAllocator:
@@ -267,6 +305,10 @@
         token: Fencing token of the lease.
         taken_at: When the takeover was known to have been written, in seconds;
             ``None`` if no process held the lease before.
+        now: Current time in seconds.
+        is_alone: Whether the holder before has surely ended.
+        may_know_early: Whether the fleet's table names every process that may
+            hold a share; a restored one may lack rows.
     """
 
     __slots__ = (
@@ -275,6 +317,7 @@
         '_is_first',
         '_known_at',
         '_limits',
+        '_may_know_early',
         '_pools',
         '_processes',
         '_pruned_at',
@@ -282,16 +325,26 @@
         'token',
     )
 
-    def __init__(self, token: int, taken_at: float | None, now: float) -> None:
+    def __init__(
+        self,
+        token: int,
+        taken_at: float | None,
+        now: float,
+        *,
+        is_alone: bool = False,
+        may_know_early: bool = True,
+    ) -> None:
         self.token = token
+        self._may_know_early = may_know_early
         self._is_first = taken_at is None
         began_at = now
         known_at = now
         if taken_at is not None:
             # The holder before may answer for some time, and the tokens in its
             # last answers are valid a little longer.
-            began_at = taken_at + ANSWER_LIMIT_S + _COUNTED_TOKEN_S
-            known_at = began_at + _COUNTED_SHARE_S
+            answers_s = 0 if is_alone else ANSWER_LIMIT_S
+            began_at = taken_at + answers_s + _COUNTED_TOKEN_S
+            known_at = taken_at + answers_s + _COUNTED_SHARE_S
         self._began_at = began_at
         self._known_at = known_at
         self._limits: Mapping[str, Organisation] = {}
@@ -331,13 +384,14 @@
 
         Args:
             members: Names of all members of the fleet.
-            removed_at: When the last removal of a member was seen, in seconds.
+            removed_at: Latest time at which a member that may still run was
+                removed, in seconds.
             now: Current time in seconds.
         """
         # A holder that had not read of a removal yet may have answered the
         # member.
         ended_at = removed_at + READING_LIMIT_S + _COUNTED_SHARE_S
-        if now < min(ended_at, self._known_at):
+        if now < min(ended_at, self._known_at) or not self._may_know_early:
             return
         if self._confirmed.issuperset(members):
             self._known_at = min(self._known_at, now)
@@ -421,7 +475,7 @@
         known_s = now - self._known_at
         if known_s > 0:
             return min(capacity, known_s * limit.rate_per_s)
-        free = 1 - _DIVIDED
+        free = 1 - DIVIDED
         accrued = (now - self._began_at) * free * limit.rate_per_s
         return min(free * capacity, accrued)
 
@@ -466,13 +520,14 @@
         pool.demand += use.demand - holding.find_demand(now)
         holding.demand = use.demand
         holding.reported_at = now
-        most = _DIVIDED
+        most = DIVIDED
         if not self.knows_all(now):
-            most = min(_DIVIDED, pool.claimed + pool.pending)
-        share = pool.choose_share(use.demand, others, most)
+            most = min(DIVIDED, pool.claimed + pool.pending)
+        rounded = pool.count_rounded(process, now)
+        share = pool.choose_share(use.demand, others, rounded, most)
         if is_urgent:
             # A share that grew in a burst would keep tokens from other VMs.
-            share = min(use.share, max(0, most - others))
+            share = pool.keep_share(use.share, others, most)
         # Before the share is taken from the reserve, so that tokens that no
         # longer fit into it are not lost.
         self._shape(pool, others + holding.find_share(now), now)
@@ -492,7 +547,7 @@
         if self.knows_all(now):
             pool.shape_reserve(1 - divided, 0, now)
             return
-        free = 1 - _DIVIDED + pool.claimed - (divided - pool.pending)
+        free = 1 - DIVIDED + pool.claimed - (divided - pool.pending)
         pool.shape_reserve(min(free, 1 - divided), 1, now)
 
     def _prune(self, now: float) -> None:
--- a/catkincrank/gateway/organisations/quotamessages.py
+++ b/catkincrank/gateway/organisations/quotamessages.py
@@ -24,8 +24,9 @@
     'check_report',
 )
 
-# A share outlasts the change of the allocator, about 7 s.
-SHARE_LIFETIME_S: Final = 10.0
+# A share outlasts outages of the store, in which nobody allocates. A VM that
+# has ended keeps its share from the others for as long, unless it restarts.
+SHARE_LIFETIME_S: Final = 30.0
 # As long as an operation waits for an answer.
 TOKEN_LIFETIME_S: Final = 0.5
 # About 100 bytes each; a frame holds 1 MiB.
--- a/catkincrank/gateway/organisations/quotas.py
+++ b/catkincrank/gateway/organisations/quotas.py
@@ -265,9 +265,7 @@
         allocator = self._find_allocator(now)
         if not allocator.knows_all(now):
             fleet = self._fleet
-            allocator.check_members(
-                fleet.members.keys(), fleet.member_removed_at, now
-            )
+            allocator.check_members(fleet.members.keys(), fleet.pruned_at, now)
             if allocator.knows_all(now):
                 log_event('quotas_known', token=allocator.token)
         return allocator.answer(report, now)
@@ -277,7 +275,13 @@
         allocator = self._allocator
         if allocator is None or allocator.token != lease.token:
             taken_at = None if lease.is_first else lease.taken_at
-            allocator = QuotaAllocator(lease.token, taken_at, now)
+            allocator = QuotaAllocator(
+                lease.token,
+                taken_at,
+                now,
+                is_alone=lease.is_succeeding_itself,
+                may_know_early=not lease.is_first_of_era,
+            )
             allocator.apply_limits(self._limits, now)
             self._allocator = allocator
             log_event('quotas_taken', token=lease.token, first=lease.is_first)
--- a/catkincrank/gateway/organisations/shareholder.py
+++ b/catkincrank/gateway/organisations/shareholder.py
@@ -22,14 +22,22 @@
     'HeldShare',
     'SentReport',
     'Shareholder',
+    'DIVIDED',
     'find_capacity',
 )
 
 # Demand is averaged over this time: long enough for callers that send an
 # operation a second, short enough to follow callers that move.
 DEMAND_PERIOD_S: Final = 1.5
+# Part of a limit that is divided into shares. The rest is given out as tokens
+# to VMs without a share, and is free for a new holder immediately.
+DIVIDED: Final = 0.8
 # A share that was not used for this long is given up.
 _IDLE_S = 2.0
+# The same for one of few operations: its VM has callers that ask more rarely,
+# who depend on it while no process allocates.
+_FEW_IDLE_S = 8.0
+_FEW_OPERATIONS = 2.0
 # While an organisation uses up its limit, operations that find no token are
 # refused without asking for a quarter of the time in which its tokens accrue.
 # Asking less often leaves a part of the limit unused.
@@ -136,11 +144,8 @@
 
     def reshape(self, now: float) -> None:
         """Derive rate and capacity from the share and the limit."""
-        self.bucket.reshape(
-            self.share * self.limit.rate_per_s,
-            self.share * find_capacity(self.limit),
-            now,
-        )
+        rate = self.share * self.limit.rate_per_s
+        self.bucket.reshape(rate, self._find_operations(), now)
 
     def return_tokens(self) -> None:
         """Drop the tokens of the last answer, which a report confirms."""
@@ -174,7 +179,20 @@
 
     def is_idle(self, now: float) -> bool:
         """Return whether the organisation has not been used recently."""
-        return not self.waiting and now >= self.used_at + _IDLE_S
+        has_few = 0 < self._find_operations() <= _FEW_OPERATIONS
+        idle_s = _FEW_IDLE_S if has_few else _IDLE_S
+        return not self.waiting and now >= self.used_at + idle_s
+
+    def _find_operations(self) -> float:
+        """Return how many operations the share admits at once.
+
+        A share for less than one is rounded up; the allocator bounds the number
+        of these.
+        """
+        capacity = self.share * find_capacity(self.limit)
+        if self.share and self.limit.rate_per_s > 0:
+            return max(1, capacity)
+        return capacity
 
     def _decay(self, now: float) -> None:
         elapsed_s = now - self._level_at
--- a/catkincrank/gateway/revocation.py
+++ b/catkincrank/gateway/revocation.py
@@ -9,6 +9,7 @@
 from catkincrank.errors import ConflictError, StoreUnavailableError
 from catkincrank.gateway.fleetrecords import (
     FLEET_TABLE,
+    HEARTBEAT_KEY,
     MemberRecord,
     decode_group,
     encode_record,
@@ -42,6 +43,8 @@
 # Members are taken for gone only if this many times as many have answered.
 _MIN_ANSWERS_PER_SILENT = 4
 # The store takes up to 100 rows and conditions in one transaction.
+# A write that the store does not answer is done within this time, if at all.
+_LATE_WRITE_S = 6.0
 _MAX_REMOVED_ROWS = 90
 
 
@@ -172,11 +175,14 @@
         is still running registers again.
         """
         names = [member.name for member in members[:_MAX_REMOVED_ROWS]]
+        # A write without an answer may be done later.
+        self._fleet.pruned_at = anyio.current_time() + _LATE_WRITE_S
+        heartbeat = encode_record(self._fleet.make_heartbeat())
         try:
             await self._store.write(
                 FLEET_TABLE,
                 held.conditions,
-                {},
+                {HEARTBEAT_KEY: heartbeat},
                 [member_key(name) for name in names],
             )
             await self._fleet.copy.reload()
--- a/catkincrank/metrics.py
+++ b/catkincrank/metrics.py
@@ -48,6 +48,10 @@
         """Increase a counter or gauge."""
         self._metric.change(self._labels, 'inc', amount)
 
+    def set(self, amount: float) -> None:
+        """Set a gauge."""
+        self._metric.change(self._labels, 'set', amount)
+
     def observe(self, amount: float) -> None:
         """Add an observation to a histogram."""
         self._metric.change(self._labels, 'observe', amount)
@@ -92,6 +96,12 @@
         """Call ``sample`` for the value of a gauge without labels."""
         self.change((), 'set_function', sample)
 
+    def clear(self) -> None:
+        """Remove all label values."""
+        self._changes.clear()
+        if self._metric is not None:
+            self._metric.clear()
+
     def change(self, labels: _Labels, method: str, argument: Any) -> None:
         """Call a method of the library's class, now or once it is loaded."""
         if self._metric is not None:
--- a/tests/test_gateway_startup.py
+++ b/tests/test_gateway_startup.py
@@ -64,6 +64,7 @@
         'catkincrank',
         'catkincrank.cmdline',
         'catkincrank.earlylisteners',
+        'catkincrank.earlysignals',
         'catkincrank.errors',
         'catkincrank.platform',
         'catkincrank.platform.earlystart',
--- a/tests/test_quota_model.py
+++ b/tests/test_quota_model.py
@@ -17,6 +17,7 @@
 
 from catkincrank.gateway.catalog import Organisation
 from catkincrank.gateway.organisations import allocator as allocating
+from catkincrank.gateway.organisations import shareholder as holding
 from catkincrank.gateway.organisations.allocator import (
     ANSWER_LIMIT_S,
     QuotaAllocator,
@@ -38,9 +39,19 @@
 # The allowance of a new holder, and that of rounding.
 SLACK = 19
 ROUNDING = 1e-6
+# Life of a share in the model: the search ends after few steps of 2 s.
+LIFETIME_S = 10.0
 EXCHANGES = ('exchange', 'release', 'lose', 'delay_report', 'delay_answer')
 
 
+@pytest.fixture(autouse=True)
+def shorten_lives(monkeypatch):
+    """Let shares expire within the steps of the search."""
+    monkeypatch.setattr(allocating, 'SHARE_LIFETIME_S', LIFETIME_S)
+    monkeypatch.setattr(allocating, '_COUNTED_SHARE_S', LIFETIME_S * 1.02)
+    monkeypatch.setattr(holding, 'SHARE_LIFETIME_S', LIFETIME_S)
+
+
 class World:
     """Processes of the model and the time."""
 
