--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -19,6 +19,7 @@
 from benchmarks.latency import measure_acknowledgements, measure_overhead
 from benchmarks.processcosts import measure_keeper
 from benchmarks.propagation import measure_leaving, measure_settings
+from benchmarks.quotacosts import measure_admission
 from benchmarks.result import Figures, check_bounds
 from benchmarks.startcosts import measure_start
 from benchmarks.trials import measure_failovers, measure_shares
@@ -50,6 +51,7 @@
     'leaving': measure_leaving,
     'control': _measure_control,
     'start': measure_start,
+    'quotas': measure_admission,
 }
 
 
--- a/catkincrank/gateway/organisations/allocator.py
+++ b/catkincrank/gateway/organisations/allocator.py
@@ -145,6 +145,7 @@
         divided: Sum of the shares that processes may hold.
         demand: Sum of the demands.
         holdings: What each process may hold.
+        rounded: Number of the shares that are rounded up.
     """
 
     __slots__ = (
@@ -157,12 +158,14 @@
         'holdings',
         'limit',
         'pending',
+        'rounded',
     )
 
     def __init__(self, limit: Organisation, tokens: float, now: float) -> None:
         self.limit = limit
         self.claimed: float = 0
         self.pending: float = 0
+        self.rounded = 0
         self.divided: float = 0
         self.demand: float = 0
         self.holdings: dict[_Process, _Holding] = {}
@@ -182,7 +185,9 @@
             if holding.is_over(now):
                 self.holdings.pop(process)
         holdings = self.holdings.values()
-        self.divided = sum(one.find_share(now) for one in holdings)
+        shares = [one.find_share(now) for one in holdings]
+        self.divided = sum(shares)
+        self.rounded = sum(map(self.is_rounded, shares))
         self.demand = sum(one.find_demand(now) for one in holdings)
         self.pending = sum(one.claim for one in holdings)
 
@@ -219,25 +224,21 @@
         )
         if demand < _MIN_DEMAND_PER_S:
             share = min(share, _SMALL_SHARE)
-        if not self._is_rounded(share):
+        if not self.is_rounded(share):
             return share
         spare = 1 - self.demand / max(1, self.limit.rate_per_s)
         share = min(share, spare * _ROUNDED_SPARE / self._most_rounded)
         has_room = 0 < share <= most - others
         return share if has_room and rounded < self._most_rounded else 0
 
-    def count_rounded(self, process: _Process, now: float) -> int:
-        """Return how many other processes may hold a share rounded up."""
-        return sum(
-            self._is_rounded(share)
-            for other, holding in self.holdings.items()
-            if other != process and (share := holding.find_share(now))
-        )
+    def is_rounded(self, share: float) -> bool:
+        """Return whether a share is for less than one operation."""
+        return 0 < share * find_capacity(self.limit) < 1
 
     def keep_share(self, share: float, others: float, most: float) -> float:
         """Return what a process may keep of its share."""
         kept = min(share, max(0, most - others))
-        return kept if kept == share or not self._is_rounded(kept) else 0
+        return kept if kept == share or not self.is_rounded(kept) else 0
 
     def shape_reserve(self, free: float, allowance: float, now: float) -> None:
         """Set the rate and capacity of the reserve.
@@ -286,10 +287,6 @@
         is_far = missing > self._reserve.rate * TOKEN_LIFETIME_S
         return is_far and self.demand >= rate * _EXHAUSTED_FACTOR
 
-    def _is_rounded(self, share: float) -> bool:
-        """Return whether a share is for less than one operation."""
-        return share * find_capacity(self.limit) < 1
-
     @property
     def _most_rounded(self) -> int:
         capacity = find_capacity(self.limit)
@@ -523,7 +520,8 @@
         most = DIVIDED
         if not self.knows_all(now):
             most = min(DIVIDED, pool.claimed + pool.pending)
-        rounded = pool.count_rounded(process, now)
+        held = holding.find_share(now)
+        rounded = pool.rounded - pool.is_rounded(held)
         share = pool.choose_share(use.demand, others, rounded, most)
         if is_urgent:
             # A share that grew in a burst would keep tokens from other VMs.
@@ -535,6 +533,7 @@
         if share:
             holding.add(self._sequence, share, now + _COUNTED_SHARE_S)
         pool.divided = others + holding.find_share(now)
+        pool.rounded = rounded + pool.is_rounded(holding.find_share(now))
         self._shape(pool, pool.divided, now)
         return OrganisationShare(
             use.organisation,
