List removed members in the holder's heartbeats

Change: the heartbeat's row lists the members that were removed because they did not answer; these have to report to the new holder, as the members have. Measured: tests of quotas, pruned members, failover, restore and the reading tree pass.

--- a/catkincrank/gateway/failoverlease.py
+++ b/catkincrank/gateway/failoverlease.py
@@ -288,7 +288,11 @@
             written = await self._store.write(
                 FLEET_TABLE,
                 held.conditions,
-                {HEARTBEAT_KEY: encode_record(self._fleet.make_heartbeat())},
+                {
+                    HEARTBEAT_KEY: encode_record(
+                        self._fleet.pruned.make_heartbeat()
+                    )
+                },
             )
         except ConflictError:
             if self.held is held:
--- a/catkincrank/gateway/fleetrecords.py
+++ b/catkincrank/gateway/fleetrecords.py
@@ -58,11 +58,13 @@
     """Heartbeat of the lease holder.
 
     Attributes:
-        pruned_s: Time since a holder last removed the row of a member that did
-            not answer, in seconds; ``None`` if unknown.
+        listed_s: Time for which all removals of members that did not answer are
+            listed, in seconds; ``None`` if unknown.
+        pruned: Names of these members, with the least time since then.
     """
 
-    pruned_s: float | None = None
+    listed_s: float | None = None
+    pruned: tuple[tuple[str, float], ...] = ()
 
 
 @final
--- a/catkincrank/gateway/fleetstate.py
+++ b/catkincrank/gateway/fleetstate.py
@@ -10,7 +10,6 @@
     HEARTBEAT_KEY,
     HOLDER_KEY,
     GroupRecord,
-    HeartbeatRecord,
     HolderRecord,
     MemberRecord,
     decode_group,
@@ -25,6 +24,7 @@
 from catkincrank.gateway.grants import Grants
 from catkincrank.gateway.groups import Groups
 from catkincrank.gateway.heartbeats import Heartbeats
+from catkincrank.gateway.prunedmembers import PrunedMembers
 from catkincrank.gateway.readingtree import ReadingTree
 from catkincrank.gateway.rowstore import ORIGIN, Revision, RowChange
 from catkincrank.gateway.tablecopy import TableCopy
@@ -34,7 +34,7 @@
 
 
 @final
-class FleetState:  # noqa: WPS214
+class FleetState:
     """State of the fleet's table.
 
     Args:
@@ -55,8 +55,7 @@
         own_member: Row of this process.
         member_removed_at: When the last removal of a member's row was seen;
             initially the start of this process, which may have missed one.
-        pruned_at: Latest time at which a lease holder may have removed the row
-            of a member that did not answer, in seconds.
+        pruned: Removals of members that did not answer.
     """
 
     __slots__ = (
@@ -72,7 +71,7 @@
         'member_removed_at',
         'members',
         'own_member',
-        'pruned_at',
+        'pruned',
         'records',
     )
 
@@ -91,7 +90,7 @@
         self.holder: tuple[Revision, HolderRecord] | None = None
         self.holder_heartbeat_at: float = 0
         self.member_removed_at = anyio.current_time()
-        self.pruned_at = self.member_removed_at
+        self.pruned = PrunedMembers()
         self.heartbeats = Heartbeats()
         self._era = 0
         self._tree: ReadingTree | None = None
@@ -156,11 +155,6 @@
             member for member in self.list_others() if member.name not in heard
         ]
 
-    def make_heartbeat(self) -> HeartbeatRecord:
-        """Return the heartbeat that the lease holder writes."""
-        pruned_s = anyio.current_time() - self.pruned_at
-        return HeartbeatRecord(max(0, round(pruned_s, 3)))
-
     def apply_changes(self, changed: tuple[RowChange, ...]) -> None:
         """Apply changed rows of the table."""
         if self.era > self._era:
@@ -198,13 +192,8 @@
             self._apply_group(row)
 
     def _apply_heartbeat(self, row: RowChange) -> None:
-        now = anyio.current_time()
-        self.holder_heartbeat_at = now
-        heartbeat = decode_heartbeat(row.body or b'{}')
-        if heartbeat.pruned_s is not None:
-            # The row was written before it was read, so that the removal was
-            # no later than this.
-            self.pruned_at = now - heartbeat.pruned_s
+        self.holder_heartbeat_at = anyio.current_time()
+        self.pruned.apply(decode_heartbeat(row.body or b'{}'))
 
     def _apply_holder(self, row: RowChange) -> None:
         self._tree = None
--- a/catkincrank/gateway/organisations/allocator.py
+++ b/catkincrank/gateway/organisations/allocator.py
@@ -375,22 +375,28 @@
         return now >= self._known_at
 
     def check_members(
-        self, members: Collection[str], removed_at: float, now: float
+        self,
+        members: Collection[str],
+        removed: Mapping[str, float],
+        listed_since: float,
+        now: float,
     ) -> None:
         """End the recovery if every process with a share has reported.
 
         Args:
             members: Names of all members of the fleet.
-            removed_at: Latest time at which a member that may still run was
-                removed, in seconds.
+            removed: Latest time at which a member that may still run was
+                removed, in seconds, by name.
+            listed_since: Since when these removals are known.
             now: Current time in seconds.
         """
         # A holder that had not read of a removal yet may have answered the
         # member.
-        ended_at = removed_at + READING_LIMIT_S + _COUNTED_SHARE_S
-        if now < min(ended_at, self._known_at) or not self._may_know_early:
+        since = now - READING_LIMIT_S - _COUNTED_SHARE_S
+        if since < listed_since or not self._may_know_early:
             return
-        if self._confirmed.issuperset(members):
+        may_run = {name for name, at in removed.items() if at > since}
+        if self._confirmed.issuperset(may_run.union(members)):
             self._known_at = min(self._known_at, now)
 
     def answer(self, report: QuotaReport, now: float) -> QuotaAllocation | None:
--- a/catkincrank/gateway/organisations/quotas.py
+++ b/catkincrank/gateway/organisations/quotas.py
@@ -265,7 +265,12 @@
         allocator = self._find_allocator(now)
         if not allocator.knows_all(now):
             fleet = self._fleet
-            allocator.check_members(fleet.members.keys(), fleet.pruned_at, now)
+            allocator.check_members(
+                fleet.members.keys(),
+                fleet.pruned.removed_at,
+                fleet.pruned.listed_since,
+                now,
+            )
             if allocator.knows_all(now):
                 log_event('quotas_known', token=allocator.token)
         return allocator.answer(report, now)
--- a/catkincrank/gateway/revocation.py
+++ b/catkincrank/gateway/revocation.py
@@ -43,8 +43,6 @@
 # Members are taken for gone only if this many times as many have answered.
 _MIN_ANSWERS_PER_SILENT = 4
 # The store takes up to 100 rows and conditions in one transaction.
-# A write that the store does not answer is done within this time, if at all.
-_LATE_WRITE_S = 6.0
 _MAX_REMOVED_ROWS = 90
 
 
@@ -175,9 +173,9 @@
         is still running registers again.
         """
         names = [member.name for member in members[:_MAX_REMOVED_ROWS]]
-        # A write without an answer may be done later.
-        self._fleet.pruned_at = anyio.current_time() + _LATE_WRITE_S
-        heartbeat = encode_record(self._fleet.make_heartbeat())
+        pruned = self._fleet.pruned
+        pruned.record(names)
+        heartbeat = encode_record(pruned.make_heartbeat())
         try:
             await self._store.write(
                 FLEET_TABLE,
--- a/tests/quotafleet.py
+++ b/tests/quotafleet.py
@@ -60,7 +60,9 @@
             members=fleet.members,
             holder=fleet.holder,
             # No member was removed lately.
-            pruned_at=anyio.current_time() - _LONG_S,
+            pruned=SimpleNamespace(
+                removed_at={}, listed_since=anyio.current_time() - _LONG_S
+            ),
             copy=SimpleNamespace(store_read_at=0),
         )
         self.quotas = Quotas(
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -508,18 +508,45 @@
     assert found.shares[0].tokens <= 0.2 * 100 + 2
     ask('a', 104.1, found.sequence)
     members = {'a'} if answers_all else {'a', 'b'}
-    allocator.check_members(members, 0, 104.2)
+    allocator.check_members(members, {}, 0, 104.2)
     assert allocator.knows_all(104.2) is answers_all
     assert (ask('a', 104.5).shares[0].share > 0) is answers_all
     known_at = 100 + ANSWER_LIMIT_S + SHARE_LIFETIME_S * 1.02
     assert ask('a', known_at).shares[0].share > 0
 
 
-def test_member_removed_lately_may_hold_a_share():
+@pytest.mark.parametrize(
+    ('removed', 'listed_since', 'knows_all'),
+    [
+        ({}, 0, True),
+        ({'a': 95}, 0, False),
+        ({'a': 60}, 0, True),
+        # Removals that are not listed may have been as late as this.
+        ({}, 95, False),
+    ],
+)
+def test_member_removed_lately_may_hold_a_share(
+    removed, listed_since, knows_all
+):
     """Guards against a removed member that is only cut off."""
     allocator = QuotaAllocator(2, 100.0, 100.0)
-    allocator.check_members((), 95.0, 104.0)
-    assert not allocator.knows_all(104.0)
+    allocator.check_members((), removed, listed_since, 104.0)
+    assert allocator.knows_all(104.0) is knows_all
+
+
+def test_removed_member_that_reports_holds_no_unknown_share():
+    """Guards against refusals for half a minute after a power loss.
+
+    A member that started late was removed, and is back.
+    """
+    allocator = QuotaAllocator(2, 100.0, 100.0, is_alone=True)
+    allocator.apply_limits({ORG: Organisation(ORG, 100, 100)}, 100)
+    found = allocator.answer(QuotaReport('a', 'i', 2, 0, True), 101.0)
+    allocator.check_members((), {'a': 100.0}, 0, 101.0)
+    assert not allocator.knows_all(101.0)
+    allocator.answer(QuotaReport('a', 'i', 2, found.sequence), 101.1)
+    allocator.check_members((), {'a': 100.0}, 0, 101.1)
+    assert allocator.knows_all(101.1)
 
 
 def test_answer_of_an_earlier_holder_is_not_applied():
