--- a/catkincrank/gateway/relay.py
+++ b/catkincrank/gateway/relay.py
@@ -34,8 +34,10 @@
 _POLL_INTERVAL_S = 0.5
 # The same for a process that others poll.
 _RELAY_INTERVAL_S = 0.25
-# The same while a revoked grant needs a newer reading.
+# The same while a revoked grant needs a newer reading, and the least time for
+# each process that polls the same relay: a relay answers about 100 a second.
 _URGENT_INTERVAL_S = 0.1
+_URGENT_SPACING_S = 0.01
 # A source that did not answer is not polled for this time, in seconds.
 _AVOIDANCE_S = 2.0
 # Sources that are tried before the store is read.
@@ -134,9 +136,12 @@
 
     def _find_interval(self) -> float:
         """Return the time until the next poll, in seconds."""
+        tree = self._fleet.tree
+        own_name = self._fleet.own_member.name
+        is_relay = tree.is_relay(own_name)
         if self._fleet.grants.awaits_reading:
-            return _URGENT_INTERVAL_S
-        is_relay = self._fleet.tree.is_relay(self._fleet.own_member.name)
+            spacing_s = _URGENT_SPACING_S * tree.count_dependants(own_name)
+            return max(_URGENT_INTERVAL_S, 0 if is_relay else spacing_s)
         return _RELAY_INTERVAL_S if is_relay else _POLL_INTERVAL_S
 
     def _describe(
