Leave early connections in the backlog instead of a thread

Change: the sockets are bound first and nobody accepts until the process can serve. The libraries that are imported later are imported in the event loop, one after the other.

--- a/catkincrank/gateway/daemon.py
+++ b/catkincrank/gateway/daemon.py
@@ -43,7 +43,7 @@
         adapter: Registry names of the implementations for the platform.
         schema: Names the platform's tables and decodes their rows.
         tasks: Task group that runs the components.
-        listeners: Accept connections until the process can serve; without
+        listeners: Sockets bound before the process can serve; without
             them, the addresses are bound when it can.
     """
 
@@ -149,16 +149,17 @@
         self._tasks.cancel_scope.cancel()
 
     async def _serve(self, status_server: StatusServer) -> None:
-        early = self._listeners and self._listeners.release()
+        early = self._listeners
         if early is not None:
-            self._tasks.start_soon(status_server.serve_readiness, early)
+            self._tasks.start_soon(
+                status_server.serve_readiness, early.readiness
+            )
         log_event(
             'ready',
             version=self.groups.catalog.version,
-            waiting=len(early.connections) if early else 0,
             cpu_s=round(time.process_time(), 3),
         )
-        await self.drain.run(early)
+        await self.drain.run(early and early.callers)
 
     async def _stop_unready(self) -> None:
         """Stop a process that was told to before it could serve."""
--- a/catkincrank/gateway/drain.py
+++ b/catkincrank/gateway/drain.py
@@ -7,15 +7,11 @@
 import anyio
 from anyio.abc import Listener, SocketListener, SocketStream, TaskGroup
 
-from catkincrank.earlylisteners import (
-    CALLER_BACKLOG,
-    ReleasedSockets,
-)
+from catkincrank.earlylisteners import CALLER_BACKLOG
 from catkincrank.gateway.carrierservice import CarrierService
 from catkincrank.gateway.options import GatewayOptions
 from catkincrank.gateway.sessionserver import SessionServer
 from catkincrank.logs import log_event
-from catkincrank.socketstreams import wrap_connection
 
 __all__ = ('Drain',)
 
@@ -78,18 +74,16 @@
                 'drain_started', callers=len(self._session_server.callers)
             )
 
-    async def run(self, early: ReleasedSockets | None = None) -> None:
+    async def run(self, early: socket | None = None) -> None:
         """Serve callers; return when the process may exit.
 
         Args:
-            early: Sockets that have been open since the process started.
+            early: Listening socket that was bound when the process started.
         """
         listener = await self._open_listener(early)
         async with anyio.create_task_group() as tasks:
             accepting = anyio.CancelScope()
             tasks.start_soon(self._accept, listener, accepting, tasks)
-            for connection in early.connections if early else ():
-                tasks.start_soon(self._serve_early, connection)
             self.is_listening = True
             await self._started.wait()
             ends_at = self._find_end()
@@ -105,10 +99,10 @@
         await self._finish()
 
     async def _open_listener(
-        self, early: ReleasedSockets | None
+        self, early: socket | None
     ) -> Listener[SocketStream]:
         if early is not None:
-            return await SocketListener.from_socket(early.callers)
+            return await SocketListener.from_socket(early)
         address = self._options.callers
         return await anyio.create_tcp_listener(
             local_host=address.host,
@@ -116,11 +110,6 @@
             backlog=CALLER_BACKLOG,
         )
 
-    async def _serve_early(self, connection: socket) -> None:
-        stream = await wrap_connection(connection)
-        if stream is not None:
-            await self._session_server.serve(stream)
-
     def _find_end(self) -> float:
         return anyio.current_time() + self._options.grace_s - _EXIT_MARGIN_S
 
--- a/catkincrank/gateway/statusserver.py
+++ b/catkincrank/gateway/statusserver.py
@@ -10,12 +10,10 @@
 import msgspec
 from anyio.abc import SocketListener
 
-from catkincrank.earlylisteners import ReleasedSockets
 from catkincrank.gateway.tablecopy import TableCopy
 from catkincrank.httpserver import HttpRequest, HttpResponse, HttpServer
 from catkincrank.logs import start_logger
 from catkincrank.metrics import CONTENT_TYPE
-from catkincrank.socketstreams import wrap_connection
 
 if TYPE_CHECKING:
     from catkincrank.gateway.daemon import Gateway
@@ -71,25 +69,16 @@
                 options.metrics.port,
             )
 
-    async def serve_readiness(self, early: ReleasedSockets) -> None:
-        """Serve readiness checks on the sockets of early listeners."""
-        listener = await SocketListener.from_socket(early.readiness)
-        async with anyio.create_task_group() as tasks:
-            for check in early.checks:
-                tasks.start_soon(self._serve_check, check)
-            await self._readiness.serve_listener(listener)
-
-    async def _serve_check(self, check: socket) -> None:
-        stream = await wrap_connection(check)
-        if stream is not None:
-            await self._readiness.serve_stream(stream)
+    async def serve_readiness(self, early: socket) -> None:
+        """Serve readiness checks on a socket that was bound early."""
+        listener = await SocketListener.from_socket(early)
+        await self._readiness.serve_listener(listener)
 
     async def _import_libraries(self) -> None:
-        await anyio.sleep(_LATER_IMPORTS_S)
+        # One after the other, so that no import delays callers for long.
         for library in _LATER_LIBRARIES:
-            await anyio.to_thread.run_sync(  # noqa: WPS476
-                importlib.import_module, library
-            )
+            await anyio.sleep(_LATER_IMPORTS_S)  # noqa: WPS476
+            importlib.import_module(library)
         start_logger()
         self._gateway.metrics.load()
 
