--- a/catkincrank/platform/trial.py
+++ b/catkincrank/platform/trial.py
@@ -62,6 +62,7 @@
     'refused_but_kept',
     'ran_without_key',
     'denied_wrongly',
+    'misnamed',
 )
 _DIGITS = 3
 _ID_BITS = 64
