Shorten the life of shares to 12 s

Change: shares live 12 s instead of 30 s, which is longer than the outages of the store that customers describe.

--- a/catkincrank/gateway/organisations/quotamessages.py
+++ b/catkincrank/gateway/organisations/quotamessages.py
@@ -25,8 +25,9 @@
 )
 
 # A share outlasts outages of the store, in which nobody allocates. A VM that
-# has ended keeps its share from the others for as long, unless it restarts.
-SHARE_LIFETIME_S: Final = 30.0
+# has ended keeps its share from the others for as long, unless it restarts, and
+# so does a member that was removed from a new holder.
+SHARE_LIFETIME_S: Final = 12.0
 # As long as an operation waits for an answer.
 TOKEN_LIFETIME_S: Final = 0.5
 # About 100 bytes each; a frame holds 1 MiB.
