--- a/catkincrank/gateway/carriers.py
+++ b/catkincrank/gateway/carriers.py
@@ -245,9 +245,12 @@
         members = len(self._members)
         if self._count_in_flight(entry) < members:
             return True
+        # The table of members may not have been read yet.
+        if members < _MIN_DIRECT_CONNECTIONS:
+            return False
         connections = self._connections.get(entry.service, 0)
         share = share_connections(connections, members)
-        return share < min(members, _MIN_DIRECT_CONNECTIONS)
+        return share < _MIN_DIRECT_CONNECTIONS
 
     def _count_in_flight(self, entry: EndpointEntry) -> int:
         """Return how many statements an endpoint can run and queue."""
--- a/catkincrank/gateway/prunedmembers.py
+++ b/catkincrank/gateway/prunedmembers.py
@@ -28,11 +28,13 @@
         listed_since: Since when all removals are known.
     """
 
-    __slots__ = ('listed_since', 'removed_at')
+    __slots__ = ('_told_at', 'listed_since', 'removed_at')
 
     def __init__(self) -> None:
         self.removed_at: dict[str, float] = {}
         self.listed_since = anyio.current_time()
+        # When the newest heartbeat was read.
+        self._told_at = self.listed_since
 
     def record(self, names: Iterable[str]) -> None:
         """Record removals that are about to be written."""
@@ -42,11 +44,7 @@
     def make_heartbeat(self) -> HeartbeatRecord:
         """Return the heartbeat that the lease holder writes."""
         now = anyio.current_time()
-        self.removed_at = {
-            name: at
-            for name, at in self.removed_at.items()
-            if now < at + _LISTED_S
-        }
+        self._forget_old(now)
         return HeartbeatRecord(
             round(now - self.listed_since, 3),
             tuple(
@@ -56,15 +54,29 @@
         )
 
     def apply(self, heartbeat: HeartbeatRecord) -> None:
-        """Take over what a heartbeat lists.
+        """Add what a heartbeat lists.
 
         It was written before it was read, so that the removals were no later
-        than this.
+        than this. The holder also reads its own heartbeats, among them those
+        from before a removal that it is about to write.
         """
         if heartbeat.listed_s is None:
             return
         now = anyio.current_time()
-        self.listed_since = now - heartbeat.listed_s
+        since = now - heartbeat.listed_s
+        if since > self._told_at:
+            # Removals between the two heartbeats may be in neither.
+            self.listed_since = since
+        self.listed_since = min(self.listed_since, since)
+        self._told_at = now
+        for name, age_s in heartbeat.pruned:
+            known = self.removed_at.get(name, now - age_s)
+            self.removed_at[name] = max(known, now - age_s)
+        self._forget_old(now)
+
+    def _forget_old(self, now: float) -> None:
         self.removed_at = {
-            name: now - age_s for name, age_s in heartbeat.pruned
+            name: at
+            for name, at in self.removed_at.items()
+            if now < at + _LISTED_S
         }
--- a/tests/test_gateway_carriers.py
+++ b/tests/test_gateway_carriers.py
@@ -69,6 +69,17 @@
     assert any(share.is_contended for share in shares) is is_scarce
 
 
+def test_endpoint_is_reached_before_the_members_are_known():
+    """Guards against sessions that crash just after a start.
+
+    The configuration arrives before the table of members.
+    """
+    one = Carriers(FLEET['vm0'], REGIONS)
+    one.configure({'svc': 32}, {})
+    assert one.find(_entry('k-a'), 0) is None
+    assert one.share(_entry('k-a')).limit > 0
+
+
 @pytest.mark.parametrize('zone', ZONES)
 def test_carriers_are_in_the_zone_and_stay_within_the_limits(zone):
     entry = _entry(zone)
--- a/tests/test_prunedmembers.py
+++ b/tests/test_prunedmembers.py
@@ -36,6 +36,28 @@
     virtualtime.run(scenario)
 
 
+def test_removal_outlasts_a_reading_of_an_earlier_heartbeat():
+    """Guards against a removal that the next holder is not told.
+
+    The holder reads its own heartbeat from before the removal, after it has
+    begun to write the removal.
+    """
+
+    async def scenario():
+        holder = PrunedMembers()
+        earlier = holder.make_heartbeat()
+        await anyio.sleep(1)
+        holder.record(['vm1'])
+        until = holder.removed_at['vm1']
+        holder.apply(earlier)
+        assert holder.removed_at == {'vm1': until}
+        # A write that is done late keeps its time, whatever is read back.
+        holder.apply(holder.make_heartbeat())
+        assert holder.removed_at == {'vm1': until}
+
+    virtualtime.run(scenario)
+
+
 def test_heartbeat_of_an_earlier_build_tells_nothing():
     async def scenario():
         found = PrunedMembers()
--- a/tests/test_quota_model.py
+++ b/tests/test_quota_model.py
@@ -41,6 +41,7 @@
 ROUNDING = 1e-6
 # Life of a share in the model: the search ends after few steps of 2 s.
 LIFETIME_S = 10.0
+GREATEST_SHARE = 0.8
 EXCHANGES = ('exchange', 'release', 'lose', 'delay_report', 'delay_answer')
 
 
@@ -51,7 +52,7 @@
     monkeypatch.setattr(allocating, '_COUNTED_SHARE_S', LIFETIME_S * 1.02)
     monkeypatch.setattr(holding, 'SHARE_LIFETIME_S', LIFETIME_S)
     # Three VMs can exceed a limit only if one may hold most of it.
-    monkeypatch.setattr(allocating, '_MAX_SHARE', 0.8)
+    monkeypatch.setattr(allocating, '_MAX_SHARE', GREATEST_SHARE)
 
 
 class World:
@@ -65,6 +66,7 @@
         saves=False,
         tick_s=2.0,
         idle_ticks=0,
+        lists=(),
     ):
         self.now = 100.0
         self.ticks = 0
@@ -80,6 +82,8 @@
         self.admitted = []
         self.taken_at = None
         self.lowered = False
+        # Whether the table lists every VM that may hold a share.
+        self.lists = lists
         self.allocators = {FIRST: QuotaAllocator(FIRST, None, self.now)}
         self.allocators[FIRST].apply_limits(LIMITS[0], self.now)
         for vm in self.vms.values():
@@ -137,7 +141,10 @@
         )
         if is_over:
             return None
-        return self.allocators[token].answer(sent.report, self.now)
+        allocator = self.allocators[token]
+        if self.lists and token == SECOND:
+            allocator.check_members(self.lists, {}, 0, self.now)
+        return allocator.answer(sent.report, self.now)
 
     def exchange(self, name, token, *, wants=True):
         sent = self.report(name, token, wants=wants)
@@ -281,6 +288,7 @@
 EXPIRY = {'tick': 8, 'exchange': 2}
 LOWERING = {'tick': 3, 'exchange': 2, 'lower': 1}
 TAKEOVER = {'tick': 7, 'exchange': 2, 'take_over': 1}
+TAKEOVER_EARLY = {'tick': 1, 'exchange': 4, 'take_over': 1}
 LATE_ANSWER = {'tick': 4, 'exchange': 1, 'delay_answer': 1, 'take_over': 1}
 LATE_REPORT = {'tick': 4, 'exchange': 1, 'delay_report': 1, 'take_over': 1}
 # The first VM holds a share that expires soon.
@@ -322,6 +330,26 @@
     assert states >= least
 
 
+@pytest.mark.parametrize('saves', [False, True])
+@pytest.mark.parametrize('greatest', [0.2, 0.4, GREATEST_SHARE])
+def test_successor_that_withholds_for_silent_members_keeps_the_limit(
+    greatest, saves, monkeypatch
+):
+    """Guards against shares of members that have not reported yet."""
+    monkeypatch.setattr(allocating, '_MAX_SHARE', greatest)
+    states, violation = _search(
+        TAKEOVER_EARLY, saves=saves, tick_s=3.1, lists=NAMES
+    )
+    assert violation is None
+    assert states >= 3500
+
+
+def test_successor_whose_table_lacks_a_member_exceeds_the_limit():
+    """Guards against a search that cannot find a share of a silent member."""
+    _, violation = _search(TAKEOVER_EARLY, tick_s=3.1, lists=NAMES[1:2])
+    assert violation is not None
+
+
 def test_shares_without_expiry_exceed_the_limit():
     """Guards against a check that cannot fail."""
     _, violation = _search(EXPIRY, expires=False)
