--- a/catkincrank/gateway/organisations/quotas.py
+++ b/catkincrank/gateway/organisations/quotas.py
@@ -44,9 +44,6 @@
 # A longer wait for an answer would outlast the operations that wait for it.
 _ASK_TIMEOUT_S = 0.4
 _MAX_WAIT_S: Final = TOKEN_LIFETIME_S
-# After this time without an answer, operations that need one are refused at
-# once, as a successor of the holder is seconds away.
-_SILENCE_S = 1.0
 _NO_LIMITS: Final[Mapping[str, Organisation]] = MappingProxyType({})
 
 
@@ -178,9 +175,6 @@
         most = find_capacity(limit) + limit.rate_per_s * _MAX_WAIT_S
         if now < held.blocked_until or held.waiting >= most:
             return 'limit'
-        if now > self._measures.unanswered_since + _SILENCE_S:
-            self._urgent.set()
-            return 'no_answer'
         held.waiting += 1
         try:  # noqa: WPS501
             return await self._wait_until(held, now + _MAX_WAIT_S)
--- a/tests/gatewayprocess.py
+++ b/tests/gatewayprocess.py
@@ -60,6 +60,10 @@
             )
         try:
             yield self
+        except BaseException:
+            # Shown with a test that fails.
+            sys.stderr.write(self.log.read_text('utf-8', 'replace'))
+            raise
         finally:
             self.process.kill()
             self.process.wait()
