--- /dev/null
+++ b/review/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that the cases of the review share."""
