--- a/review/standin/instances.py
+++ b/review/standin/instances.py
@@ -297,6 +297,7 @@
         if not self.is_up:
             return ['ERROR FAILED -']
         self.service.runs.append((request_id, self.name, time.monotonic()))
+        self.service.observe(self, session, request_id)
         signature = 'COMPLETE {0}.{1}'.format(self.name, secrets.token_hex(8))
         if is_write:
             item, _, content = rest.partition(' ')
@@ -365,6 +366,7 @@
         ]
         self.instances[0].is_primary = True
         self.leader = self.instances[0]
+        self.term = 1
 
     def note(self, text: str) -> None:
         """Record an event."""
@@ -375,6 +377,11 @@
         for instance in self.instances:
             await instance.start()
 
+    def observe(
+        self, instance: Instance, session: '_Session', request_id: str
+    ) -> None:
+        """Check a statement that an instance runs; for cases."""
+
     def find(self, name: str) -> Instance | None:
         """Return an instance by its id."""
         return next((one for one in self.instances if one.name == name), None)
@@ -397,7 +404,7 @@
 
     def _replicate(self, now: float) -> None:
         source = self.leader
-        if not source.is_up:
+        if not (source.is_up and source.is_primary):
             return
         for one in self.instances:
             if one is source or one.is_deaf or not one.is_up or one.is_primary:
@@ -424,10 +431,10 @@
         await asyncio.sleep(self.promote_s)
         if not chosen.is_up:
             return 409
-        before = self.leader
         self.leader = chosen
         chosen.is_deaf = False
-        chosen.become(is_primary=True, term=before.term + 1)
+        self.term += 1
+        chosen.become(is_primary=True, term=self.term)
         now = time.monotonic()
         self.promotions.append((now, name, chosen.term, list(chosen.log)))
         self.note('{0} leads term {1}'.format(name, chosen.term))
