--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -20,6 +20,7 @@
 
     def __init__(self) -> None:
         self.port = 0
+        self.era = 0
         self._server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -56,8 +57,8 @@
                 reason = _REASONS.get(status, 'Status')
                 writer.write(
                     'HTTP/1.1 {0} {1}\r\nContent-Type: application/json\r\n'
-                    'Store-Era: 0\r\nContent-Length: {2}\r\n\r\n'.format(
-                        status, reason, len(encoded)
+                    'Store-Era: {3}\r\nContent-Length: {2}\r\n\r\n'.format(
+                        status, reason, len(encoded), self.era
                     ).encode()
                     + encoded
                 )
@@ -77,6 +78,7 @@
         super().__init__()
         self.rows: dict[tuple[str, str, str], tuple[bytes, int]] = {}
         self.version = 0
+        self._first_version = 0
         self._history: list[tuple[int, tuple[str, str, str], bytes | None]] = []
         self._changed = asyncio.Event()
 
@@ -85,6 +87,21 @@
         value = json.dumps(content).encode()
         return self._apply([((table, '', key), value)])
 
+    def copy(self) -> tuple[dict[tuple[str, str, str], tuple[bytes, int]], int]:
+        """Return a copy, from which the store can be restored."""
+        return dict(self.rows), self.version
+
+    def restore(
+        self, copied: tuple[dict[tuple[str, str, str], tuple[bytes, int]], int]
+    ) -> None:
+        """Go back to a copy; the era rises."""
+        rows, version = copied
+        self.rows = dict(rows)
+        self.version = version
+        self._first_version = version
+        self._history = []
+        self.era += 1
+
     def remove(self, table: str, key: str) -> int:
         """Remove a row as the platform does."""
         return self._apply([((table, '', key), None)])
@@ -166,7 +183,7 @@
 
     async def _follow(self, query: dict[str, str]) -> tuple[int, object]:
         after = int(query['after'])
-        if after > self.version:
+        if not self._first_version <= after <= self.version:
             return 410, {}
         ends_at = time.monotonic() + int(query.get('wait_ms') or 0) / 1000
         while True:
