Review: show stale strong reads at a primary that lost its log

A gateway that has seen no position of a primary accepts an emptied start of it, for as long as the registration of the new start cannot be read.

--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -13,6 +13,7 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 
 from review.standin.instances import Service
@@ -128,6 +129,8 @@
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
         self.outstanding: tuple[str, str, float] | None = None
+        self.last_id = ''
+        self.on_send: Callable[[str], object] = str
 
     async def open(self, database: str, *fields: str) -> str:
         """Open the session; return the first word of the answer and a code."""
@@ -151,6 +154,7 @@
         sent_at = time.monotonic()
         self.outstanding = (request_id, text, sent_at)
         self.last_id = request_id
+        self.on_send(request_id)
         self._writer.write(
             'QUERY {0} {1}\r\n'.format(request_id, text).encode()
         )
--- a/review/standin/instances.py
+++ b/review/standin/instances.py
@@ -127,6 +127,17 @@
             writer.transport.abort()
         self._writers.clear()
 
+    async def restart_empty(self) -> None:
+        """Start again under the same id, without anything of before."""
+        self.log = []
+        self.is_primary = False
+        self.term = 1
+        self.held_term = 0
+        self.occupied = 0
+        self._queued = 0
+        self._slots = asyncio.Semaphore(self.service.slots)
+        await self.start()
+
     def become(self, *, is_primary: bool, term: int) -> None:
         """Change the role and report it."""
         self.is_primary = is_primary
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -78,6 +78,7 @@
         super().__init__()
         self.rows: dict[tuple[str, str, str], tuple[bytes, int]] = {}
         self.version = 0
+        self.is_down = False
         self._first_version = 0
         self._history: list[tuple[int, tuple[str, str, str], bytes | None]] = []
         self._changed = asyncio.Event()
@@ -118,6 +119,8 @@
             ).items()
         }
         await asyncio.sleep(_CALL_S)
+        if self.is_down:
+            return 503, {}
         if parts.path == '/v1/rows-tx':
             return self._transact(json.loads(body))
         if parts.path == '/v1/rows-get':
