--- a/review/standin/case_sync_replicas.py
+++ b/review/standin/case_sync_replicas.py
@@ -3,10 +3,12 @@
 """Crashes a primary while one replica receives nothing and the other is busy.
 
 The service has ``sync_replicas`` 1, so the busy replica holds every
-acknowledged commit.
+acknowledged commit. With VARIANT=draining that replica is not busy but about to
+leave, and the other one is 150 ms behind.
 """
 
 import asyncio
+import os
 import time
 from pathlib import Path
 
@@ -32,6 +34,8 @@
     await deployment.start()
     await deployment.wait_served('loans', 'WRITE warm up')
     record = deployment.record
+    is_draining = os.environ.get('VARIANT') == 'draining'
+    _, leaving, behind = service.instances
     acknowledged: dict[str, float] = {}
     is_over = False
 
@@ -58,12 +62,18 @@
     ]
     tasks.extend(
         asyncio.create_task(use(one, 'views', 'READ k{0}'))
-        for one in range(_READERS)
+        for one in range(0 if is_draining else _READERS)
     )
     await asyncio.sleep(5)
     if has_trouble:
-        service.note('i3 receives nothing')
-        service.instances[2].is_deaf = True
+        if is_draining:
+            service.note('i2 is draining, i3 is 150 ms behind')
+            behind.lag_s = 0.15
+            leaving.is_draining = True
+            leaving.register()
+        else:
+            service.note('i3 receives nothing')
+            behind.is_deaf = True
         await asyncio.sleep(_DEAF_S)
         service.note('i1, the primary, crashes')
         service.instances[0].crash()
