--- a/review/standin/case_lost_at_stop.py
+++ b/review/standin/case_lost_at_stop.py
@@ -59,7 +59,8 @@
         task.cancel()
     broken = []
     for request_id, text, sent_at, cut_at in cuts:
-        was_passed_on = request_id in service.arrivals
+        _, arrived_at = service.arrivals.get(request_id, ('', cut_at))
+        was_passed_on = arrived_at < cut_at
         is_late = cut_at > sent_at + _SLACK_S
         is_excused = sent_at <= term_at + 3 or cut_at > term_at + _GRACE_S + 1
         record.add(
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -195,6 +195,8 @@
                 for version, key, value in self._history
                 if version > after and key[0] == query['table']
             ]
+            if self.is_down:
+                return 503, {}
             left = ends_at - time.monotonic()
             if rows or left <= 0:
                 return 200, self._page(rows)
