Answer every statement before a planned stop closes connections

Cause: a session of a gateway that stops ends at the first pause of 20 ms between requests. A session without such a pause was served until Drain cancelled all sessions, 0.4 s before the grace time ends, whatever they ran. Statements that waited for an endpoint or for their acknowledgement were cut in the same way. SIGHUP, withdrawn keys, an unreadable fleet table and the older proxy program were looked at: they don't end a session within a request.

The new test of the drain failed before (all 8 callers cut in a statement that had been started), for reads and writes.

Change: from half of the grace time on, a request that would begin an operation is refused as not run and its session ends; open transactions go on. 0.5 s before the grace time ends each statement that still runs is interrupted and answered: not run only if no endpoint was sent it, else in doubt or timed out; transactions are rolled back. So no connection closes within a request that was read.

--- a/catkincrank/gateway/drain.py
+++ b/catkincrank/gateway/drain.py
@@ -22,6 +22,10 @@
 # exit by itself.
 _EXIT_MARGIN_S = 0.4
 _POLL_INTERVAL_S = 0.05
+# Every statement is answered this long before the connections are closed.
+_ANSWER_MARGIN_S = 0.1
+# Part of the grace period in which sessions may begin operations.
+_SERVING_SHARE = 0.5
 
 
 @final
@@ -86,7 +90,7 @@
             tasks.start_soon(self._accept, listener, accepting, tasks)
             self.is_listening = True
             await self._started.wait()
-            ends_at = self._find_end()
+            ends_at = self._schedule_end()
             await anyio.sleep(min(_BALANCER_DELAY_S, self._options.grace_s / 2))
             accepting.cancel()
             await self._await_idle(ends_at)
@@ -95,7 +99,7 @@
 
     async def run_unready(self) -> None:
         """Drain a process that has not served callers."""
-        await self._await_idle(self._find_end())
+        await self._await_idle(self._schedule_end())
         await self._finish()
 
     async def _open_listener(
@@ -110,8 +114,16 @@
             backlog=CALLER_BACKLOG,
         )
 
-    def _find_end(self) -> float:
-        return anyio.current_time() + self._options.grace_s - _EXIT_MARGIN_S
+    def _schedule_end(self) -> float:
+        """Limit the work of sessions; return when the drain ends."""
+        now = anyio.current_time()
+        grace_s = self._options.grace_s
+        ends_at = now + grace_s - _EXIT_MARGIN_S
+        self._session_server.shutdown_limits.schedule(
+            refuse_at=now + grace_s * _SERVING_SHARE,
+            answer_by=ends_at - _ANSWER_MARGIN_S,
+        )
+        return ends_at
 
     async def _finish(self) -> None:
         await self._leave()
--- a/catkincrank/gateway/forwarding.py
+++ b/catkincrank/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from catkincrank.gateway.reply import Failure, Reply, StatementFailed
 from catkincrank.gateway.session import Session
 from catkincrank.gateway.statement import Kind, Statement
+from catkincrank.verdict import Verdict
 
 __all__ = ('Forwarder',)
 
@@ -54,9 +55,18 @@
         """
         link = borrowed.link
         alias = link.prepared.get(session.prepared.get(statement.name), b'')
-        return await self._await_reply(
-            borrowed, link.run(statement, after, alias)
-        )
+        session.may_have_run = True
+        try:
+            reply = await self._await_reply(
+                borrowed, link.run(statement, after, alias)
+            )
+        except EndpointError as error:
+            session.may_have_run = error.was_sent
+            raise
+        if reply.refusal is not None:
+            verdict = reply.refusal.failure.verdict
+            session.may_have_run = verdict is not Verdict.NOT_RUN
+        return reply
 
     async def begin(
         self,
--- a/catkincrank/gateway/session.py
+++ b/catkincrank/gateway/session.py
@@ -98,16 +98,18 @@
         transaction: Open transaction, if any.
         last_commit: Log position of the session's newest commit.
         is_revoked: Whether the key was withdrawn.
-        is_denied: Whether a statement was refused for that reason; the
-            session is then closed.
+        is_closing: Whether the session is closed after the current reply.
+        may_have_run: Whether the current statement was sent to an endpoint
+            and may have run there.
     """
 
     __slots__ = (
         'credential',
         'database',
-        'is_denied',
+        'is_closing',
         'is_revoked',
         'last_commit',
+        'may_have_run',
         'organisation',
         'prepared',
         'status',
@@ -130,7 +132,8 @@
         self.transaction: Transaction | None = None
         self.last_commit: Position | None = None
         self.is_revoked = False
-        self.is_denied = False
+        self.is_closing = False
+        self.may_have_run = False
 
     def record_commit(self, position: Position | None) -> None:
         """Advance the log position of the session's newest commit."""
@@ -151,7 +154,7 @@
 
     def deny(self, failure: Failure) -> StatementFailed:
         """Return the failure of a statement whose key was withdrawn."""
-        self.is_denied = True
+        self.is_closing = True
         return StatementFailed(failure, 'the key was withdrawn')
 
     def end(self) -> None:
--- a/catkincrank/gateway/sessionserver.py
+++ b/catkincrank/gateway/sessionserver.py
@@ -22,6 +22,7 @@
 from catkincrank.gateway.reply import Failure, Reply, StatementFailed, refuse
 from catkincrank.gateway.requestlog import RequestLog
 from catkincrank.gateway.session import Session, answer_locally
+from catkincrank.gateway.shutdownlimits import ShutdownLimits
 from catkincrank.gateway.statement import Kind, Statement
 from catkincrank.gateway.transactions import Transactions
 
@@ -51,6 +52,7 @@
 
     Attributes:
         callers: Open connections.
+        shutdown_limits: Limits on statements while the process stops.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         '_log',
         '_transactions',
         'callers',
+        'shutdown_limits',
     )
 
     def __init__(
@@ -79,6 +82,7 @@
         self._codec = codec
         self._key_check = KeyCheck(groups, transactions, quotas, log)
         self.callers: set[Caller] = set()
+        self.shutdown_limits = ShutdownLimits()
         groups.listen(self.end_revoked)
 
     async def serve(self, stream: SocketStream) -> None:
@@ -113,7 +117,7 @@
         if caller.session is None:
             return
         await caller.codec.send_ready()
-        while not caller.session.is_denied:
+        while not caller.session.is_closing:
             request = await self._await_request(caller)
             if request is None or isinstance(request, Terminate):
                 return
@@ -185,8 +189,11 @@
 
     async def _answer(self, session: Session, statement: Statement) -> Reply:
         started = anyio.current_time()
+        session.may_have_run = False
         try:
-            reply = await self._run(session, statement)
+            reply = await self.shutdown_limits.run(
+                session, statement, self._run(session, statement)
+            )
         except StatementFailed as error:
             reply = error.as_reply(session.status)
         took_s = anyio.current_time() - started
@@ -211,6 +218,7 @@
             return await self._run_on(transaction.route, session, statement)
         if route is None:
             return refuse(Failure.UNKNOWN_DATABASE, session.status)
+        self.shutdown_limits.check_operation(session)
         await self._key_check.admit_operation(session, route)
         return await self._run_on(route, session, statement)
 
--- /dev/null
+++ b/catkincrank/gateway/shutdownlimits.py
@@ -0,0 +1,108 @@
+"""Limits on the statements of callers while the process stops."""
+
+import math
+from collections.abc import Awaitable
+from typing import final
+
+import anyio
+
+from catkincrank.gateway.reply import Failure, Reply, StatementFailed
+from catkincrank.gateway.session import Session, Transaction
+from catkincrank.gateway.statement import Kind, Statement
+
+__all__ = ('ShutdownLimits',)
+
+_CAUSE = 'the process is stopping; connect again'
+
+
+@final
+class ShutdownLimits:
+    """Refuses new operations and interrupts running statements in time.
+
+    A caller without pauses between its operations keeps its session busy, so
+    that the session never ends by itself. Its connection must not be closed
+    while a statement runs.
+    """
+
+    __slots__ = ('_answer_by', '_refuse_at', '_scopes')
+
+    def __init__(self) -> None:
+        self._refuse_at = math.inf
+        self._answer_by = math.inf
+        self._scopes: set[anyio.CancelScope] = set()
+
+    def schedule(self, *, refuse_at: float, answer_by: float) -> None:
+        """Set the limits, also for the statements that run.
+
+        Args:
+            refuse_at: When new operations begin to be refused, in seconds.
+            answer_by: When every statement must be answered, in seconds.
+        """
+        self._refuse_at = refuse_at
+        self._answer_by = answer_by
+        for scope in self._scopes:
+            scope.deadline = answer_by
+
+    def check_operation(self, session: Session) -> None:
+        """Check that a new operation may begin; its session ends otherwise.
+
+        Raises:
+            StatementFailed: The process stops; nothing was run.
+        """
+        if anyio.current_time() >= self._refuse_at:
+            session.is_closing = True
+            raise StatementFailed(Failure.OVERLOADED, _CAUSE)
+
+    async def run(
+        self,
+        session: Session,
+        statement: Statement,
+        pending: Awaitable[Reply],
+    ) -> Reply:
+        """Return the reply to a statement, unless it comes too late.
+
+        Args:
+            session: Session of the statement.
+            statement: The statement.
+            pending: Runs it.
+
+        Raises:
+            StatementFailed: The process stops; the failure tells whether the
+                statement may have run.
+        """
+        transaction = session.transaction
+        with anyio.CancelScope(deadline=self._answer_by) as scope:
+            self._scopes.add(scope)
+            try:  # noqa: WPS501
+                return await pending
+            finally:
+                self._scopes.discard(scope)
+        if transaction is None:
+            failure = _find_failure(session, statement)
+        else:
+            failure = _end_transaction(session, statement, transaction)
+        raise StatementFailed(failure, _CAUSE)
+
+
+def _find_failure(session: Session, statement: Statement) -> Failure:
+    """Return the failure of an interrupted statement outside transactions."""
+    if not session.may_have_run:
+        return Failure.OVERLOADED
+    if session.writes(statement):
+        return Failure.IN_DOUBT
+    return Failure.TIMED_OUT
+
+
+def _end_transaction(
+    session: Session,
+    statement: Statement,
+    transaction: Transaction,
+) -> Failure:
+    """Roll back after an interruption, unless the commit may have run."""
+    transaction.close_link()
+    if session.transaction is not None:
+        session.fail_transaction()
+    is_commit = statement.kind is Kind.COMMIT
+    if is_commit and transaction.has_written and session.may_have_run:
+        return Failure.IN_DOUBT
+    return Failure.ABORTED
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -1,7 +1,11 @@
+import contextlib
+import itertools
 import socket
 
 import anyio
+import pytest
 
+from catkincrank.gateway.callers import DISCONNECT_ERRORS
 from catkincrank.gateway.carrierservice import CarrierService
 from catkincrank.gateway.drain import Drain
 from catkincrank.gateway.options import Address, GatewayOptions
@@ -34,25 +38,29 @@
     await anyio.sleep(0)
 
 
+def _make_drain(session_server, port):
+    options = GatewayOptions(
+        'vm',
+        'zone',
+        'region',
+        Address('127.0.0.1', port),
+        UNUSED_ADDRESS,
+        UNUSED_ADDRESS,
+        UNUSED_ADDRESS,
+        '',
+        '',
+        grace_s=3,
+    )
+    carrier_service = CarrierService(None, None, Metrics())
+    return Drain(session_server, carrier_service, options, _leave_fleet)
+
+
 def test_statement_running_at_drain_is_answered_after_listener_closes():
     async def scenario():
         execution = BlockedExecution()
         session_server = CallerConnection(execution).session_server
         port = find_port()
-        options = GatewayOptions(
-            'vm',
-            'zone',
-            'region',
-            Address('127.0.0.1', port),
-            UNUSED_ADDRESS,
-            UNUSED_ADDRESS,
-            UNUSED_ADDRESS,
-            '',
-            '',
-            grace_s=3,
-        )
-        carrier_service = CarrierService(None, None, Metrics())
-        drain = Drain(session_server, carrier_service, options, _leave_fleet)
+        drain = _make_drain(session_server, port)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(drain.run)
             while not drain.is_listening:
@@ -70,3 +78,73 @@
             await stream.aclose()
 
     anyio.run(scenario)
+
+
+class BusyCaller:
+    """Sends each request as soon as the one before is answered."""
+
+    def __init__(self, script):
+        self._script = script
+        self.outcomes = []
+        self.pending = ''
+
+    async def run(self, port, name):
+        stream = await anyio.connect_tcp('127.0.0.1', port)
+        async with stream:
+            await stream.send(b'STARTUP db u\r\n')
+            await stream.receive()
+            with contextlib.suppress(*DISCONNECT_ERRORS):
+                for number in itertools.count():
+                    text = self._script[number % len(self._script)]
+                    await self._ask(stream, f'{name}.{number}', text)
+
+    async def _ask(self, stream, request_id, text):
+        self.pending = request_id
+        await stream.send(f'QUERY {request_id} {text}\r\n'.encode())
+        received = b''
+        while b'READY ' not in received:
+            received += await stream.receive()
+        self.pending = ''
+        self.outcomes.append(received.split(b'\r\n')[-3].split(b' ')[0])
+
+
+class CountedExecution(SlowExecution):
+    """Keeps the ids of the statements that it was asked to run."""
+
+    def __init__(self):
+        self.started = set()
+
+    async def run(self, session, route, statement):
+        self.started.add(statement.request_id.decode())
+        return await super().run(session, route, statement)
+
+
+@pytest.mark.parametrize('script', [('READ k',), ('WRITE k v',)])
+def test_drain_answers_each_statement_of_callers_that_never_pause(script):
+    """Guards against a planned stop that cuts requests of busy sessions.
+
+    A session was served for as long as its caller sent the next request at
+    once, and its connection was closed during one at the end of the grace time.
+    """
+
+    async def scenario():
+        execution = CountedExecution()
+        session_server = CallerConnection(execution).session_server
+        port = find_port()
+        drain = _make_drain(session_server, port)
+        callers = [BusyCaller(script) for _ in range(8)]
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(drain.run)
+            while not drain.is_listening:
+                await anyio.sleep(0.01)
+            for number, caller in enumerate(callers):
+                tasks.start_soon(caller.run, port, number)
+            await anyio.sleep(0.2)
+            drain.start()
+        cut = {caller.pending for caller in callers}
+        assert not cut & execution.started
+        return [caller.outcomes for caller in callers]
+
+    for outcomes in anyio.run(scenario):
+        assert outcomes.pop() == b'ERROR'
+        assert set(outcomes) == {b'COMPLETE'}
--- a/tests/test_gateway_keys.py
+++ b/tests/test_gateway_keys.py
@@ -337,7 +337,7 @@
             tasks.start_soon(withdraw, path)
             reply = await path.run_statement(session, text)
         assert reply.refusal.failure is Failure.DENIED
-        assert session.is_denied
+        assert session.is_closing
         assert session.transaction is None
         assert not path.runs
 
