Stop waiting for the store before the grace time ends

Cause: after its sessions had ended, Drain waited for the removal of its row, with the time limit of a store call only.

Change: it waits until 0.2 s before the grace time ends. A row that stays is removed by the lease holder when the process does not answer.

--- a/catkincrank/gateway/drain.py
+++ b/catkincrank/gateway/drain.py
@@ -18,9 +18,10 @@
 # The load balancer checks readiness every second and stops sending callers
 # after two failed checks.
 _BALANCER_DELAY_S = 2.2
-# The drain ends this long before the grace period does, so that the process can
-# exit by itself.
+# Connections are closed this long before the grace period ends, so that the
+# process can remove its row and exit by itself.
 _EXIT_MARGIN_S = 0.4
+_LEAVE_MARGIN_S = 0.2
 _POLL_INTERVAL_S = 0.05
 # Every statement is answered this long before the connections are closed.
 _ANSWER_MARGIN_S = 0.1
@@ -95,12 +96,13 @@
             accepting.cancel()
             await self._await_idle(ends_at)
             tasks.cancel_scope.cancel()
-        await self._finish()
+        await self._finish(ends_at)
 
     async def run_unready(self) -> None:
         """Drain a process that has not served callers."""
-        await self._await_idle(self._schedule_end())
-        await self._finish()
+        ends_at = self._schedule_end()
+        await self._await_idle(ends_at)
+        await self._finish(ends_at)
 
     async def _open_listener(
         self, early: socket | None
@@ -125,10 +127,16 @@
         )
         return ends_at
 
-    async def _finish(self) -> None:
-        await self._leave()
+    async def _finish(self, ends_at: float) -> None:
+        await self._leave_by(ends_at + _LEAVE_MARGIN_S)
         log_event('drain_finished', callers=len(self._session_server.callers))
 
+    async def _leave_by(self, deadline: float) -> None:
+        with anyio.CancelScope(deadline=deadline):
+            await self._leave()
+            return
+        log_event('unregistration_failed', cause='no answer in time')
+
     async def _accept(
         self,
         listener: Listener,
--- a/tests/test_gateway_drain.py
+++ b/tests/test_gateway_drain.py
@@ -10,6 +10,7 @@
 from catkincrank.gateway.drain import Drain
 from catkincrank.gateway.options import Address, GatewayOptions
 from catkincrank.metrics import Metrics
+from tests import virtualtime
 from tests.test_gateway_sessionserver import CallerConnection, SlowExecution
 
 UNUSED_ADDRESS = Address('127.0.0.1', 1)
@@ -38,7 +39,12 @@
     await anyio.sleep(0)
 
 
-def _make_drain(session_server, port):
+async def _leave_without_answer():
+    """Wait for a store that does not answer."""
+    await anyio.sleep(3600)
+
+
+def _make_drain(session_server, port, leave=_leave_fleet):
     options = GatewayOptions(
         'vm',
         'zone',
@@ -52,7 +58,7 @@
         grace_s=3,
     )
     carrier_service = CarrierService(None, None, Metrics())
-    return Drain(session_server, carrier_service, options, _leave_fleet)
+    return Drain(session_server, carrier_service, options, leave)
 
 
 def test_statement_running_at_drain_is_answered_after_listener_closes():
@@ -148,3 +154,17 @@
     for outcomes in anyio.run(scenario):
         assert outcomes.pop() == b'ERROR'
         assert set(outcomes) == {b'COMPLETE'}
+
+
+def test_drain_ends_in_time_while_the_store_does_not_answer():
+    """Guards against a process that is killed at the end of a planned stop."""
+
+    async def scenario():
+        session_server = CallerConnection().session_server
+        drain = _make_drain(session_server, 0, _leave_without_answer)
+        drain.start()
+        began = anyio.current_time()
+        await drain.run_unready()
+        return anyio.current_time() - began
+
+    assert virtualtime.run(scenario) < 3
