Soak: add callers that never pause

Change: one caller of eight sends its next request at once and keeps a session until the gateway ends it. The other callers' choices are as before.

--- a/benchmarks/soak/caller.py
+++ b/benchmarks/soak/caller.py
@@ -23,6 +23,9 @@
 _RECONNECT_DELAY_S = 0.1
 _SET_SHARE = 0.5
 _SESSION_END_SHARE = 0.03
+# One caller of this many never pauses, and keeps each session until the gateway
+# ends it.
+_CALLERS_PER_BUSY = 8
 _DISCONNECT_SHARE = 0.01
 _COMMIT_SHARE = 0.8
 _READ_ONLY_SHARE = 0.3
@@ -56,6 +59,7 @@
         history: History,
     ) -> None:
         self._sessions = itertools.count(number, 1000)
+        self._is_busy = number % _CALLERS_PER_BUSY == 0
         self._random = random.Random(seed * 1000 + number)
         self._programs = programs
         self._history = history
@@ -80,6 +84,7 @@
             name,
             self._random,
             self._history,
+            is_busy=self._is_busy,
         )
         try:
             await session.run_operations()
@@ -98,6 +103,8 @@
         program: tuple[str, int],
         source: random.Random,
         history: History,
+        *,
+        is_busy: bool,
     ) -> None:
         self._number = number
         self._stream = stream
@@ -111,9 +118,10 @@
         self._transaction = 0
         self._began_at: float = 0
         self._open: Attempt | None = None
+        self._is_busy = is_busy
 
     async def run_operations(self) -> None:
-        """Run operations until the session ends at random."""
+        """Run operations until the session ends."""
         startup = 'STARTUP {0} caller\r\n'.format(self._database)
         with anyio.fail_after(_ANSWER_TIMEOUT_S):
             await self._stream.send(startup.encode('ascii'))
@@ -121,7 +129,7 @@
                 return
         if self._random.random() < _SET_SHARE:
             await self._set_value()
-        while self._random.random() > _SESSION_END_SHARE:
+        while self._random.random() > _SESSION_END_SHARE or self._is_busy:
             kinds = tuple(_OPERATION_WEIGHTS)
             weights = tuple(_OPERATION_WEIGHTS.values())
             kind = self._random.choices(kinds, weights)[0]
@@ -171,7 +179,9 @@
         await self._send_request(b'COMMIT' if is_commit else b'ROLLBACK')
 
     async def _pause(self) -> None:
-        await anyio.sleep(self._random.uniform(0, _MAX_PAUSE_S))
+        pause_s = self._random.uniform(0, _MAX_PAUSE_S)
+        if not self._is_busy:
+            await anyio.sleep(pause_s)
 
     async def _set_value(self) -> None:
         chosen = b'%d' % self._number
@@ -196,7 +206,7 @@
         await self._stream.send(
             b'QUERY %b %b\r\n' % (attempt.request_id, text),
         )
-        if self._random.random() < _DISCONNECT_SHARE:
+        if self._random.random() < _DISCONNECT_SHARE and not self._is_busy:
             raise anyio.ClosedResourceError
         self._open = attempt
         with anyio.move_on_after(_ANSWER_TIMEOUT_S):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -247,6 +247,9 @@
         # Guards a write in doubt while the failover duty moved to another
         # gateway.
         (114, SMALL),
+        # Guards against a planned stop that cuts requests of callers that never
+        # pause.
+        (37001, SoakSize()),
     ],
 )
 def test_short_soak_keeps_every_invariant(seed, size, tmp_path):
