Read a request that has arrived before an idle session is closed

Cause, in part: an idle session ends when no request came for 20 ms. asyncio collects due timers and ready sockets together, and then runs callbacks. What arrives while these run is seen after the timer has ended the wait, when the connection is closed already.

Change: after the wait, the socket is polled once more without waiting, and a request that has arrived is read and answered.

--- a/catkincrank/gateway/sessionserver.py
+++ b/catkincrank/gateway/sessionserver.py
@@ -31,7 +31,7 @@
 # A connection that sends no startup request within this time is closed.
 _STARTUP_TIMEOUT_S = 5.0
 # A request that arrives while an idle session is being closed is still
-# answered.
+# answered, also if the process was too busy to read it in this time.
 _FINAL_READ_S = 0.02
 # A request of a session whose key was withdrawn is refused anyway. Waiting
 # longer would refuse requests of callers that could have reconnected first.
@@ -162,7 +162,10 @@
                     return None
                 await self._abort_idle_transaction(session)
         limit_s = _REVOKED_READ_S if session.is_revoked else _FINAL_READ_S
-        return await caller.read(anyio.current_time() + limit_s)
+        request = await caller.read(anyio.current_time() + limit_s)
+        if request is None and caller.codec.has_input:
+            request = await caller.read(anyio.current_time() + limit_s)
+        return request
 
     def _find_deadline(self, session: Session, since: float) -> float:
         """Return when the wait for a request that began at ``since`` ends."""
--- a/catkincrank/keepalive.py
+++ b/catkincrank/keepalive.py
@@ -3,7 +3,7 @@
 import select
 import socket
 
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import ByteStream, SocketAttribute, SocketStream
 
 __all__ = ('has_ended', 'has_pending_input', 'enable_keepalive')
 
@@ -30,13 +30,15 @@
         raw.setsockopt(socket.IPPROTO_TCP, option, setting)
 
 
-def has_pending_input(stream: SocketStream) -> bool:
+def has_pending_input(stream: ByteStream) -> bool:
     """Return whether data, an end of stream or an error can be read.
 
     On a connection without a pending request it means that the connection has
-    ended.
+    ended. ``False`` for a stream that is no socket.
     """
-    raw = stream.extra(SocketAttribute.raw_socket)
+    raw = stream.extra(SocketAttribute.raw_socket, None)
+    if raw is None:
+        return False
     poll = select.poll()
     poll.register(raw.fileno(), select.POLLIN)
     return bool(poll.poll(0))
--- a/catkincrank/platform/callers.py
+++ b/catkincrank/platform/callers.py
@@ -15,6 +15,7 @@
 from catkincrank.gateway.position import Position
 from catkincrank.gateway.reply import Failure, Refusal, Reply, refuse
 from catkincrank.gateway.statement import Kind, Prepared, Statement
+from catkincrank.keepalive import has_pending_input
 from catkincrank.platform.codes import FAILURE_CODES
 from catkincrank.platform.lines import LineReader
 
@@ -46,8 +47,8 @@
 
     @property
     def has_input(self) -> bool:
-        """Whether part of a request has been received."""
-        return self._reader.has_bytes
+        """Whether part of a request has arrived."""
+        return self._reader.has_bytes or has_pending_input(self._stream)
 
     async def read_startup(self) -> Startup | None:
         """Return the startup request; ``None`` if it is malformed."""
--- a/tests/test_gateway_sessionserver.py
+++ b/tests/test_gateway_sessionserver.py
@@ -1,6 +1,10 @@
+import asyncio
+import socket
+import time
+
 import anyio
 import pytest
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, SocketAttribute
 
 from catkincrank.gateway.catalog import Catalog, Consistency, Route, Service
 from catkincrank.gateway.groups import Groups
@@ -145,6 +149,35 @@
     assert b'ROW row\r\nCOMPLETE sig\r\nREADY I -\r\n' in received
 
 
+def test_request_that_arrives_while_the_process_is_busy_is_answered():
+    """Guards against a planned stop that closes a connection with a request.
+
+    The wait for a last request ended while the process ran other callbacks; a
+    request that had arrived meanwhile was not read.
+    """
+
+    async def scenario():
+        session_server = CallerConnection().session_server
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+        address = listener.extra(SocketAttribute.local_address)
+        with socket.create_connection(address) as client:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, session_server.serve)
+                client.sendall(b'STARTUP db u\r\n')
+                await anyio.sleep(0.1)
+                session_server.end_when_idle()
+                loop = asyncio.get_running_loop()
+                # Both the request and the end of the wait are due afterwards.
+                loop.call_later(0.005, time.sleep, 0.1)
+                loop.call_later(0.01, client.sendall, b'QUERY 1 READ k\r\n')
+                await anyio.sleep(0.3)
+                tasks.cancel_scope.cancel()
+            return client.recv(1000)
+
+    received = anyio.run(scenario)
+    assert received.endswith(b'COMPLETE sig\r\nREADY I -\r\n')
+
+
 def test_end_when_idle_ends_idle_sessions_at_once():
     async def scenario():
         connection = CallerConnection()
