Soak: groups with a synchronous replica

Cause: the soak's endpoints acknowledged commits at once, so that no play could lose one that callers had been told was durable.

A commit waits for N replicas; endpoints that crash keep their logs; one replica at a time falls behind; slow endpoints answer no STATUS. The check "durable" finds acknowledged commits that a promotion rolled back. The stand-ins look their logs up by time; before, each statement walked through the whole log.

--- a/benchmarks/soak/endpointdisruptions.py
+++ b/benchmarks/soak/endpointdisruptions.py
@@ -30,7 +30,10 @@
 
 @register_disruption('endpoint crashed')
 async def crash_endpoint(testbed: Testbed, disruption: Disruption) -> str:
-    """Crash an endpoint; it restarts under its name without its data."""
+    """Crash an endpoint; it restarts under its name without its data.
+
+    In a group with synchronous replicas it keeps its data.
+    """
     endpoint = pick_endpoint(testbed, disruption)
     injector = testbed.endpoint_injectors[endpoint.endpoint_id]
     if not endpoint.is_up or testbed.count_up() < _QUORUM:
@@ -41,7 +44,13 @@
     testbed.platform.register_all()
     await anyio.sleep(disruption.for_s)
     injector.set_fault(None)
-    testbed.group.restart(endpoint, int(time.time() * _MS))
+    born_ms = int(time.time() * _MS)
+    if testbed.group.sync_replicas:
+        endpoint.is_up = True
+        endpoint.born_ms = born_ms
+        endpoint.is_primary = endpoint is testbed.group.newest_primary
+    else:
+        testbed.group.restart(endpoint, born_ms)
     testbed.platform.register_all()
     return endpoint.endpoint_id
 
@@ -79,19 +88,30 @@
 
 @register_disruption('endpoint slow')
 async def slow_endpoint(testbed: Testbed, disruption: Disruption) -> str:
-    """Increase the time that an endpoint takes for each statement."""
+    """Increase the time that an endpoint takes for each statement.
+
+    In a group with synchronous replicas it is too busy to report its state.
+    """
     endpoint = pick_endpoint(testbed, disruption)
     initial_s = endpoint.work_s
     endpoint.work_s = max(initial_s, disruption.choice * _MAX_WORK_S)
+    endpoint.is_busy = testbed.group.sync_replicas > 0
     await anyio.sleep(disruption.for_s)
+    endpoint.is_busy = False
     endpoint.work_s = testbed.work_s
     return endpoint.endpoint_id
 
 
 @register_disruption('replicas behind')
 async def delay_replicas(testbed: Testbed, disruption: Disruption) -> str:
-    """Increase the replication lag of the replicas."""
-    for endpoint in testbed.group.instances.values():
+    """Increase the replication lag of the replicas.
+
+    In a group with synchronous replicas, of one of them only.
+    """
+    lagging = list(testbed.group.instances.values())
+    if testbed.group.sync_replicas:
+        lagging = [lagging[int(disruption.choice * len(lagging))]]
+    for endpoint in lagging:
         endpoint.lag_s = disruption.strength * _MAX_LAG_S
     await anyio.sleep(disruption.for_s)
     for one in testbed.group.instances.values():
--- a/benchmarks/soak/history.py
+++ b/benchmarks/soak/history.py
@@ -111,6 +111,7 @@
         spans: Disruptions.
         versions: Versions of the configuration in force at gateways.
         faults: Gateway processes that ended or did not recover.
+        is_durable: Whether no acknowledged commit may be rolled back.
     """
 
     attempts: dict[bytes, Attempt] = field(default_factory=dict)
@@ -120,6 +121,7 @@
     spans: list[Span] = field(default_factory=list)
     versions: list[VersionSeen] = field(default_factory=list)
     faults: list[str] = field(default_factory=list)
+    is_durable: bool = False
 
     def runs_by_id(self) -> dict[bytes, list[Run]]:
         """Return the runs of each request."""
--- a/benchmarks/soak/invariants.py
+++ b/benchmarks/soak/invariants.py
@@ -1,29 +1,19 @@
 """Invariants that a soak checks on the records of callers and endpoints."""
 
-from bisect import bisect_right
 from collections import defaultdict
 from collections.abc import Callable, Iterator
-from itertools import accumulate
-from typing import final
 
+from benchmarks.soak.commits import Commits
 from benchmarks.soak.history import Attempt, History, Outcome
 from catkincrank.gateway.position import Position
 from catkincrank.registry import Registry
 from catkincrank.standins.memorylink import Run
 
-__all__ = ('STALENESS_S', 'find_violations', 'invariants')
+__all__ = ('find_violations', 'invariants')
 
 _TransactionId = tuple[int, int]
 _Check = Callable[[History], Iterator[str]]
 invariants: Registry[_Check] = Registry('invariant')
-# Staleness that `make_config` of the trial allows, in seconds, by consistency
-# type of the route.
-STALENESS_S = {  # noqa: WPS407
-    'primary': 0,
-    'bounded_staleness': 1.5,
-    'read_your_writes': 1.5,
-}
-_READ_YOUR_WRITES = 'read_your_writes'
 # The platform's rules allow a request that no endpoint has run to be cut up to
 # 0.2 s after its last byte.
 _UNEXECUTED_CUT_S = 0.2
@@ -101,7 +91,7 @@
 @invariants.register('stale')
 def check_stale(history: History) -> Iterator[str]:
     """Find reads that missed a commit that they were required to see."""
-    commits = _Commits(history)
+    commits = Commits(history)
     runs = history.runs_by_id()
     for attempt in history.attempts.values():
         if attempt.outcome is not Outcome.DONE or not attempt.is_read:
@@ -115,6 +105,16 @@
             yield '{0!r} saw {1}, not {2}'.format(attempt, seen, required)
 
 
+@invariants.register('durable')
+def check_durable(history: History) -> Iterator[str]:
+    """Find acknowledged commits that a promotion of another endpoint lost."""
+    if not history.is_durable:
+        return
+    for attempt, run in history.list_commits():
+        if history.is_rolled_back(run.position):
+            yield '{0!r} at {1}'.format(attempt, run.position)
+
+
 @invariants.register('one primary')
 def check_one_primary(history: History) -> Iterator[str]:
     """Find acknowledged writes that a replaced primary ran."""
@@ -207,58 +207,6 @@
     yield from history.faults
 
 
-@final
-class _Commits:
-    """Acknowledged commits that no promotion rolled back."""
-
-    def __init__(self, history: History) -> None:
-        found = [
-            (attempt.answered_at, attempt.session, run.position)
-            for attempt, run in history.list_commits()
-            if not history.is_rolled_back(run.position)
-        ]
-        found.sort()
-        self._all = _PositionTimeline(
-            [(at, committed) for at, _, committed in found]
-        )
-        by_session: dict[int, list[tuple[float, Position]]] = defaultdict(list)
-        for at, owner, committed in found:
-            by_session[owner].append((at, committed))
-        self._own = {
-            session: _PositionTimeline(positions)
-            for session, positions in by_session.items()
-        }
-
-    def find_required(self, attempt: Attempt) -> Position:
-        """Return the position that a read is required to see."""
-        age_s = STALENESS_S[attempt.consistency]
-        required = self._all.find_highest(attempt.began_at - age_s)
-        own = self._own.get(attempt.session)
-        if attempt.consistency == _READ_YOUR_WRITES and own is not None:
-            required = max(required, own.find_highest(attempt.began_at))
-        return required
-
-
-@final
-class _PositionTimeline:
-    """Highest position up to each point in time.
-
-    Args:
-        positions: Times and positions, sorted.
-    """
-
-    def __init__(self, positions: list[tuple[float, Position]]) -> None:
-        self._times = [at for at, _ in positions]
-        self._highest = list(
-            accumulate((position for _, position in positions), max)
-        )
-
-    def find_highest(self, before: float) -> Position:
-        """Return the highest position up to a time."""
-        count = bisect_right(self._times, before)
-        return self._highest[count - 1] if count else _NO_POSITION
-
-
 def _has_same_text(attempt: Attempt, run: Run) -> bool:
     if attempt.text.startswith(b'EXECUTE'):
         return run.text.startswith(b'EXECUTE')
--- a/benchmarks/soak/run.py
+++ b/benchmarks/soak/run.py
@@ -65,6 +65,7 @@
         restores: Whether the store also returns from older copies.
         earlier: Directory of an earlier build, which replaces this one or is
             replaced by it while callers are served.
+        sync_replicas: Replicas that receive a commit before it is acknowledged.
     """
 
     seconds: float = 12
@@ -72,6 +73,7 @@
     callers: int = 16
     restores: bool = False
     earlier: Path | None = None
+    sync_replicas: int = 0
 
 
 async def run_seed(seed: int, size: SoakSize, folder: Path) -> History:
@@ -79,7 +81,9 @@
     plan = draw_plan(seed, size.seconds)
     if size.restores:
         plan.extend(draw_restorations(seed, size.seconds))
-    testbed = Testbed(seed, folder, size.gateways, size.callers)
+    testbed = Testbed(
+        seed, folder, size.gateways, size.callers, size.sync_replicas
+    )
     roll = None
     if size.earlier is not None:
         roll = choose_roll(seed, size.earlier)
@@ -182,6 +186,7 @@
     parser.add_argument('--gateways', type=int, default=defaults.gateways)
     parser.add_argument('--callers', type=int, default=defaults.callers)
     parser.add_argument('--restores', action='store_true')
+    parser.add_argument('--sync-replicas', type=int, default=0)
     parser.add_argument(
         '--from', dest='earlier', help='commit of an earlier build to mix with'
     )
@@ -193,6 +198,7 @@
         flags.callers,
         flags.restores,
         flags.earlier and extract_build(flags.earlier, parent / 'earlier'),
+        flags.sync_replicas,
     )
     sys.stdout.write('logs of broken seeds: {0}\n'.format(parent))
     seeds = range(flags.first, flags.first + flags.seeds)
--- a/benchmarks/soak/testbed.py
+++ b/benchmarks/soak/testbed.py
@@ -42,6 +42,7 @@
         folder: Directory of settings and logs.
         gateways: Number of gateways.
         callers: Number of callers.
+        sync_replicas: Replicas that receive a commit before it is acknowledged.
 
     Attributes:
         history: Records of callers and endpoints.
@@ -61,9 +62,11 @@
         folder: Path,
         gateways: int,
         callers: int,
+        sync_replicas: int = 0,
     ) -> None:
         self.history = History()
         self.group = MemoryEndpointGroup(SERVICE, ENDPOINTS)
+        self.group.sync_replicas = sync_replicas
         self.work_s = self.group.newest_primary.work_s
         self.platform = PlatformStandIn({SERVICE: self.group})
         self.settings_version = 0
@@ -97,6 +100,7 @@
             self.settings_version,
             self._connections,
             _TIMEOUT_MS + self.settings_version,
+            sync_replicas=self.group.sync_replicas,
         )
         self._settings = body
         self.platform.rows.write(CONFIG_TABLE, [], {CONFIG_KEY: body})
@@ -160,6 +164,7 @@
         """Return the history, completed by the records of the endpoints."""
         self.history.runs = self.platform.runs
         self.history.primary_changes = self.group.primary_changes
+        self.history.is_durable = self.group.sync_replicas > 0
         return self.history
 
     async def _restart_ended(self) -> None:
--- a/catkincrank/platform/standin.py
+++ b/catkincrank/platform/standin.py
@@ -15,7 +15,7 @@
 from catkincrank.gateway.callers import DISCONNECT_ERRORS
 from catkincrank.gateway.link import EndpointState
 from catkincrank.gateway.promoter import PromotionError
-from catkincrank.gateway.reply import Failure, Reply, refuse
+from catkincrank.gateway.reply import Failure, Refusal, Reply, refuse
 from catkincrank.gateway.rowstore import Condition, Revision, RowChange
 from catkincrank.gateway.statement import Kind, Statement
 from catkincrank.httpserver import HttpRequest, HttpResponse, HttpServer
@@ -244,6 +244,9 @@
     command = _COMMANDS.get(word)
     if command is not None:
         state = await getattr(link, command)(*map(int, operand.split()))
+        if state is None:
+            busy = Refusal(Failure.BUSY)
+            return Reply((), b'', busy, link.status, link.position)
         return Reply((_encode_state(state),), b'-', status=link.status)
     statement = parse_statement(request_id, text)
     if statement.kind in {Kind.BEGIN, Kind.BEGIN_READ}:
--- a/catkincrank/platform/trial.py
+++ b/catkincrank/platform/trial.py
@@ -333,6 +333,7 @@
     connections: int = _CONNECTIONS,
     timeout_ms: int = _TIMEOUT_MS,
     organisations: list[dict[str, Any]] | None = None,
+    sync_replicas: int = 0,
 ) -> bytes:
     """Return a configuration with a route of each type.
 
@@ -342,7 +343,13 @@
         timeout_ms: Time limit of a statement, in milliseconds.
         organisations: Organisations with their keys; ``None`` if callers need
             no keys.
+        sync_replicas: Replicas that receive a commit before it is acknowledged.
     """
+    service = {
+        'name': SERVICE,
+        'max_connections': connections,
+        'sync_replicas': sync_replicas,
+    }
     optional = {} if organisations is None else {'tenants': organisations}
     return msgspec.json.encode(
         {
@@ -359,7 +366,7 @@
                 }
                 for name, kind in ROUTES.items()
             ],
-            'services': [{'name': SERVICE, 'max_connections': connections}],
+            'services': [service],
             'limits': {'tx_idle_ms': 3000},
         },
     )
--- a/catkincrank/standins/memoryendpoints.py
+++ b/catkincrank/standins/memoryendpoints.py
@@ -1,10 +1,12 @@
 """In-memory stand-ins for endpoints that report log positions."""
 
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from typing import final
 
 import anyio
 
+from catkincrank.errors import EndpointError
 from catkincrank.gateway.link import EndpointState
 from catkincrank.gateway.position import Position
 from catkincrank.gateway.promoter import Promoter, PromotionError
@@ -20,6 +22,7 @@
 
 _EMPTY_LOG_POSITION = Position(1, 0)
 _DEFAULT_WORK_S = 0.005
+_REPLICATION_POLL_S = 0.02
 
 
 @final
@@ -87,6 +90,7 @@
         promote_s: Time that a promotion takes, in seconds.
 
     Attributes:
+        sync_replicas: Replicas that receive a commit before it is acknowledged.
         newest_primary: Primary of the newest term, even if it was demoted.
         primary_changes: Changes of the primary so far.
     """
@@ -99,6 +103,7 @@
     ) -> None:
         self.service = service
         self.promote_s = promote_s
+        self.sync_replicas = 0
         self.instances = {name: MemoryEndpoint(name) for name in names}
         self.newest_primary = self.instances[names[0]]
         self.newest_primary.is_primary = True
@@ -125,6 +130,21 @@
         instance.log.append((anyio.current_time(), position))
         return position
 
+    async def wait_received(
+        self, instance: MemoryEndpoint, position: Position
+    ) -> None:
+        """Wait until enough replicas have received a commit of a primary.
+
+        Raises:
+            EndpointError: The primary stopped or was replaced meanwhile.
+        """
+        while self._count_holders(position) <= self.sync_replicas:
+            is_replaced = instance is not self.newest_primary
+            if is_replaced or not instance.is_up:
+                raise EndpointError('no replica received it', was_sent=True)
+            await anyio.sleep(_REPLICATION_POLL_S)
+            self.catch_up()
+
     def catch_up(self) -> None:
         """Replicate the entries that are older than each replica's lag."""
         source = self.newest_primary
@@ -134,10 +154,9 @@
         for one in self.instances.values():
             if one.is_primary or not one.is_up:
                 continue
-            arrived = [
-                entry for entry in source.log if entry[0] <= now - one.lag_s
-            ]
-            one.log = max(one.log, arrived, key=len)
+            arrived = bisect_right(source.log, now - one.lag_s, key=_time_of)
+            if arrived > len(one.log):
+                one.log = source.log[:arrived]
             one.term = source.term
 
     def promote(self, endpoint_id: str) -> None:
@@ -172,6 +191,14 @@
             instance.term,
         )
 
+    def _count_holders(self, position: Position) -> int:
+        """Return how many endpoints hold a commit, the primary included."""
+        return sum(one.position >= position for one in self.instances.values())
+
+
+def _time_of(entry: tuple[float, Position]) -> float:
+    return entry[0]
+
 
 @final
 @dataclass(frozen=True, slots=True)
--- a/catkincrank/standins/memorylink.py
+++ b/catkincrank/standins/memorylink.py
@@ -128,8 +128,7 @@
         self.instance.ran.append(statement.request_id)
         run = Run(self, statement)
         self._runs.append(run)
-        self._apply(statement, alias)
-        run.position = self.instance.position
+        run.position = await self._apply(statement, alias)
         if self.instance.lost_answers:
             self.instance.lost_answers -= 1
             raise EndpointError('answer lost', was_sent=True)
@@ -238,25 +237,32 @@
             return named[alias].is_write
         return statement.kind is Kind.WRITE
 
-    def _apply(self, statement: Statement, alias: bytes) -> None:
+    async def _apply(self, statement: Statement, alias: bytes) -> Position:
+        """Apply a statement; return the log position that it saw or made."""
+        position = self.instance.position
         is_open = self._status is TransactionStatus.OPEN
         if self._writes(statement, alias):
             self._has_written = True
             if not is_open:
-                self._commit()
+                position = await self._commit()
         elif statement.kind is Kind.COMMIT:
-            self._commit()
+            position = await self._commit()
             self._end()
+        return position
 
     def _end(self) -> None:
         self._has_written = False
         self._is_read_only = False
         self._status = TransactionStatus.IDLE
 
-    def _commit(self) -> None:
-        if self._has_written:
-            self._group.commit(self.instance)
+    async def _commit(self) -> Position:
+        if not self._has_written:
+            return self.instance.position
         self._has_written = False
+        position = self._group.commit(self.instance)
+        if self._group.sync_replicas:
+            await self._group.wait_received(self.instance, position)
+        return position
 
     def _refuse(self, failure: Failure) -> Reply:
         if self._status is TransactionStatus.OPEN:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -161,6 +161,15 @@
                 primary_changes=[PrimaryChange(1.01, 2, Position(1, 9))],
             ),
         ),
+        (
+            'durable',
+            make_history(
+                [WRITTEN],
+                [WRITE_RUN],
+                primary_changes=[PrimaryChange(1.2, 2, Position(1, 5))],
+                is_durable=True,
+            ),
+        ),
         ('one connection', moved_to_other_link()),
         ('pinned', mixed_transactions_on_one_link()),
         (
