Do not let leaving replicas replace each other in turn

Callers would see: in a group with synchronous replicas whose endpoints all leave, the primary was replaced again and again, and writes waited each time. Found by reading once more; no caller reported it.

Change: a leaving replica is chosen only if the old primary does not answer in the start that the record names. The primary is not demoted while a replica leaves, so that the staying ones can receive what it has.

--- a/catkincrank/gateway/durability.py
+++ b/catkincrank/gateway/durability.py
@@ -92,15 +92,20 @@
         """Reports of all endpoints that answered."""
         return list(self._reports.values())
 
+    @property
+    def has_primary_answered(self) -> bool:
+        """Whether the old primary answered, in the start of the record."""
+        report = self._reports.get(self._record.primary)
+        return report is not None and self._is_same_start(report)
+
     @property
     def primary(self) -> LogReport | None:
         """Report of the old primary with the log that it had, if any."""
         report = self._reports.get(self._record.primary)
         if report is None or report.state is None:
             return None
-        start = (self._record.primary, self._record.born_ms)
-        is_same_start = report.entry.start == start
-        return report if is_same_start and self._is_intact(report) else None
+        is_same_log = self._is_same_start(report) and self._is_intact(report)
+        return report if is_same_log else None
 
     def list_unknown(self) -> list[str]:
         """Return the replicas whose received log is not known."""
@@ -141,6 +146,10 @@
         report = self._reports.get(endpoint_id)
         return report is not None and report.state is not None
 
+    def _is_same_start(self, report: LogReport) -> bool:
+        start = (self._record.primary, self._record.born_ms)
+        return report.entry.start == start
+
     def _is_intact(self, report: LogReport) -> bool:
         known = self._positions.get(report.entry.endpoint_id, _NO_LOG)
         return report.least_received >= known
--- a/catkincrank/gateway/durableselection.py
+++ b/catkincrank/gateway/durableselection.py
@@ -62,10 +62,12 @@
         """
         logs = await self._read_logs(record)
         sync_replicas = self._find_sync_replicas(record.service)
-        return len(logs.list_unknown()) < sync_replicas and any(
-            not report.entry.is_draining
-            for report in self._list_replicas(record, logs)
-        )
+        replicas = self._list_replicas(record, logs)
+        # A leaving replica may have the longest log; the others then need what
+        # the primary has.
+        is_any_leaving = any(one.entry.is_draining for one in replicas)
+        is_enough = len(logs.list_unknown()) < sync_replicas
+        return bool(replicas) and is_enough and not is_any_leaving
 
     async def choose(
         self, record: GroupRecord, *, may_keep: bool
@@ -73,8 +75,8 @@
         """Return the successor; ``None`` if none is certain in time.
 
         Endpoints that are too busy to report, or that do not answer, are asked
-        again. A leaving replica is chosen if it alone has every commit; it is
-        replaced in turn.
+        again. A leaving replica is chosen if the old primary does not answer
+        and no staying endpoint is certain; it is replaced in turn.
 
         Args:
             record: Row of the group.
@@ -103,10 +105,12 @@
         newer = _find_newer_primary(record, logs)
         if newer is not None:
             return newer
+        # Leaving endpoints would replace each other in turn.
         certain = [
             report
             for report in self._list_replicas(record, logs)
             if not logs.find_doubt(report)
+            and not (report.entry.is_draining and logs.has_primary_answered)
         ]
         primary = logs.primary
         if primary is not None and waited_s < _CATCH_UP_LIMIT_S:
@@ -114,7 +118,6 @@
                 report
                 for report in certain
                 if report.least_received >= primary.least_received
-                and not report.entry.is_draining
             ]
         if certain:
             return max(certain, key=lambda one: self._rank(record, one))
--- a/catkincrank/gateway/groups.py
+++ b/catkincrank/gateway/groups.py
@@ -118,7 +118,7 @@
     def list_receivers(self, service: str, now: float) -> list[EndpointEntry]:
         """Return every endpoint of a group that may have received commits."""
         return self._list_since(
-            service, now - _LAPSED_MEMBER_S, has_leavers=True
+            service, now - _LAPSED_MEMBER_S, with_leaving=True
         )
 
     def may_prove(self, service: str, now: float) -> bool:
@@ -197,10 +197,10 @@
         return None
 
     def _list_since(
-        self, service: str, since: float, *, has_leavers: bool = False
+        self, service: str, since: float, *, with_leaving: bool = False
     ) -> list[EndpointEntry]:
         """Return the endpoints that are registered, or were after a time."""
-        lapsed = self.roster.list_lapsed(since, has_leavers=has_leavers)
+        lapsed = self.roster.list_lapsed(since, with_leaving=with_leaving)
         return [
             *self.roster.of_service(service),
             *(entry for entry in lapsed if entry.service == service),
--- a/catkincrank/gateway/roster.py
+++ b/catkincrank/gateway/roster.py
@@ -140,7 +140,7 @@
         return lapsed and lapsed.entry
 
     def list_lapsed(
-        self, since: float, *, has_leavers: bool = False
+        self, since: float, *, with_leaving: bool = False
     ) -> list[EndpointEntry]:
         """Return the entries that went after a time.
 
@@ -149,14 +149,14 @@
 
         Args:
             since: The time, in seconds.
-            has_leavers: Whether to include endpoints that announced their
+            with_leaving: Whether to include endpoints that announced their
                 leave.
         """
         recent = [
             lapsed.entry
             for lapsed in self._lapsed.values()
             if lapsed.lapsed_at > since
-            and (has_leavers or not lapsed.entry.is_draining)
+            and (with_leaving or not lapsed.entry.is_draining)
         ]
         if not recent:
             return recent
--- a/tests/test_gateway_durability.py
+++ b/tests/test_gateway_durability.py
@@ -161,6 +161,17 @@
     fleet.register(fleet.a, is_draining=True)
 
 
+async def _replace_leaving_primary_while_all_leave(fleet):
+    for endpoint in (fleet.a, fleet.b, fleet.c):
+        fleet.register(endpoint, is_draining=True)
+
+
+async def _replace_leaving_primary_while_longest_log_leaves(fleet):
+    fleet.c.lag_s = 0.3
+    fleet.register(fleet.b, is_draining=True)
+    fleet.register(fleet.a, is_draining=True)
+
+
 async def _ignore_promotions_of_replica(fleet):
     """Have the platform take b for the primary, so that it promotes c only."""
     fleet.group.newest_primary = fleet.b
@@ -177,6 +188,8 @@
         (_lose_primary_after_replica_left, 11),
         (_lose_primary_that_comes_back, 11),
         (_replace_leaving_primary_while_replica_lags, 11),
+        (_replace_leaving_primary_while_longest_log_leaves, 6),
+        (_replace_leaving_primary_while_all_leave, FOREVER_S),
         (_ignore_promotions_of_replica, FOREVER_S),
     ],
 )
@@ -202,10 +215,12 @@
                 if anyio.current_time() > began + min(limit_s, 20):
                     break
             took_s = anyio.current_time() - began
-            await anyio.sleep(5)
+            await anyio.sleep(15)
             tasks.cancel_scope.cancel()
         return fleet.group.primary_changes, acknowledged, took_s
 
     changes, acknowledged, took_s = virtualtime.run(run)
     assert all(change.position >= acknowledged for change in changes)
+    # Leaving endpoints do not replace each other in turn.
+    assert len(changes) <= 2
     assert took_s < limit_s
