Review: a late promotion replaces a primary that is in use

Cause: a promotion without an answer may still take effect, but a later attempt promotes and records another endpoint, and gateways go on using that one when the first call takes effect.

--- /dev/null
+++ b/review/standin2/group.py
@@ -0,0 +1,77 @@
+"""Endpoints of one group that replicate asynchronously."""
+
+from dataclasses import dataclass
+from typing import final
+
+import anyio
+
+from catkincrank.standins.memoryendpoints import (
+    MemoryEndpoint,
+    MemoryEndpointGroup,
+)
+
+__all__ = ('AsyncGroup', 'Lead')
+
+# A replaced primary steps down this long after it can reach the new one.
+_STEP_DOWN_S = 1.0
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Lead:
+    """One endpoint's time as the primary that the platform named.
+
+    Attributes:
+        at: When the promotion took effect, in seconds.
+        endpoint_id: The endpoint.
+        term: Its term.
+    """
+
+    at: float
+    endpoint_id: str
+    term: int
+
+
+class AsyncGroup(MemoryEndpointGroup):
+    """Group whose replaced primary goes on for a second.
+
+    Attributes:
+        leads: The primaries so far, the newest last.
+    """
+
+    def __init__(
+        self, service: str, names: tuple[str, ...], promote_s: float
+    ) -> None:
+        super().__init__(service, names, promote_s)
+        self.leads = [Lead(anyio.current_time(), names[0], 1)]
+
+    def promote(self, endpoint_id: str) -> None:
+        """Make an endpoint the primary of the next term with its own log."""
+        chosen = self.instances[endpoint_id]
+        if chosen is self.newest_primary:
+            return
+        self.catch_up()
+        chosen.term = self.newest_primary.term + 1
+        chosen.is_primary = True
+        self.newest_primary = chosen
+        self.leads.append(Lead(anyio.current_time(), endpoint_id, chosen.term))
+
+    def catch_up(self) -> None:
+        """Replicate the newest primary's log to the replicas."""
+        source = self.newest_primary
+        if not source.is_up:
+            return
+        for one in self.instances.values():
+            self._step_down(one)
+            is_replica = one.is_up and not one.is_primary
+            if is_replica and one.log != source.log:
+                one.log = list(source.log)
+            if is_replica:
+                one.term = source.term
+
+    def _step_down(self, one: MemoryEndpoint) -> None:
+        """Make a replaced primary a replica once it knows its successor."""
+        is_replaced = one.is_primary and one is not self.newest_primary
+        replaced_s = anyio.current_time() - self.leads[-1].at
+        if is_replaced and replaced_s > _STEP_DOWN_S:
+            one.is_primary = False
