Review: a replica that lost its log counts as one that lacks nothing

Cause: with synchronous replicas, a replica that started again without its log reports a state and so counts as known; what it had acknowledged is forgotten, and a replica that is behind is promoted.

--- a/review/standin2/cloud.py
+++ b/review/standin2/cloud.py
@@ -35,6 +35,19 @@
     token: int
     delay_s: float
 
+    def describe(self) -> str:
+        """Return the line of a record."""
+        return (
+            '{0:.3f} call of {1} to promote {2}, token {3}, performed after '
+            '{4:.1f} s'.format(
+                self.at,
+                self.holder,
+                self.endpoint_id,
+                self.token,
+                self.delay_s,
+            )
+        )
+
 
 @final
 class Cloud:
--- a/review/standin2/group.py
+++ b/review/standin2/group.py
@@ -29,11 +29,19 @@
         at: When the promotion took effect, in seconds.
         endpoint_id: The endpoint.
         term: Its term.
+        held: Position of its log then.
     """
 
     at: float
     endpoint_id: str
     term: int
+    held: Position
+
+    def describe(self) -> str:
+        """Return the line of a record."""
+        return '{0:.3f} {1} leads term {2}, with its log at {3}'.format(
+            self.at, self.endpoint_id, self.term, self.held
+        )
 
 
 class Endpoint(MemoryEndpoint):
@@ -49,6 +57,7 @@
     """Group whose replaced primary goes on for a second.
 
     Attributes:
+        deaf: Identifiers of the replicas that receive nothing.
         leads: The primaries so far, the newest last.
     """
 
@@ -63,7 +72,15 @@
         self.instances = {name: Endpoint(name, log=list(log)) for name in names}
         self.newest_primary = self.instances[names[0]]
         self.newest_primary.is_primary = True
-        self.leads = [Lead(anyio.current_time(), names[0], 1)]
+        self.deaf: set[str] = set()
+        self.leads = [
+            Lead(
+                anyio.current_time(),
+                names[0],
+                1,
+                self.newest_primary.position,
+            )
+        ]
 
     def promote(self, endpoint_id: str) -> None:
         """Make an endpoint the primary of the next term with its own log."""
@@ -75,7 +92,14 @@
         chosen.term = max(terms) + 1
         chosen.is_primary = True
         self.newest_primary = chosen
-        self.leads.append(Lead(anyio.current_time(), endpoint_id, chosen.term))
+        self.leads.append(
+            Lead(
+                anyio.current_time(),
+                endpoint_id,
+                chosen.term,
+                chosen.position,
+            )
+        )
 
     def catch_up(self) -> None:
         """Replicate the newest primary's log to the replicas."""
@@ -84,7 +108,11 @@
             return
         for one in self.instances.values():
             self._step_down(one)
-            is_replica = one.is_up and not one.is_primary
+            is_replica = (
+                one.is_up
+                and not one.is_primary
+                and one.endpoint_id not in self.deaf
+            )
             if is_replica and one.log != source.log:
                 one.log = list(source.log)
             if is_replica:
