--- a/review/standin2/results.py
+++ b/review/standin2/results.py
@@ -1,6 +1,7 @@
 """Plays a script: its record and its exit status."""
 
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -95,10 +96,22 @@
 async def _play(case: Case) -> None:
     with ExitStack() as stack:
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_end_at_signal)
             await case.stage.start(tasks, stack)
             await case.play(tasks)
             tasks.cancel_scope.cancel()
 
 
+async def _end_at_signal() -> None:
+    """End the case, with all processes that it started, at a signal.
+
+    Raises:
+        InterruptedError: The program was told to stop.
+    """
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for signum in received:
+            raise InterruptedError(signum.name)
+
+
 def _time_of(line: str) -> float:
     return float(line.partition(' ')[0])
