--- a/review/standin2/results.py
+++ b/review/standin2/results.py
@@ -109,8 +109,8 @@
         InterruptedError: The program was told to stop.
     """
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
-        async for signum in received:
-            raise InterruptedError(signum.name)
+        signum = await anext(received)
+        raise InterruptedError(signum.name)
 
 
 def _time_of(line: str) -> float:
