--- a/review/standin2/results.py
+++ b/review/standin2/results.py
@@ -78,8 +78,13 @@
 
 def main(make_case: Callable[[Path, bool], Case]) -> None:
     """Play a case; the argument of the program is its folder."""
-    record = Path(sys.argv[1]) / 'record.txt'
-    sys.exit(anyio.run(_Player(make_case).run, record))
+    status = _NOT_RUN
+    try:
+        record = Path(sys.argv[1]) / 'record.txt'
+        status = anyio.run(_Player(make_case).run, record)
+    except Exception:
+        traceback.print_exc()
+    sys.exit(status)
 
 
 async def _try_to_play(case: Case) -> bool:
