--- a/review/standin2/case_emptied_replica.py
+++ b/review/standin2/case_emptied_replica.py
@@ -9,7 +9,7 @@
 
 from review.standin2.client import Attempt, Client
 from review.standin2.results import main
-from review.standin2.stage import PRIMARY, REPLICAS, Stage
+from review.standin2.stage import LAPSE_S, PRIMARY, REPLICAS, Stage
 
 _PROMOTE_S = 0.6
 _CALM_S = 2.0
@@ -19,7 +19,6 @@
 _DOWN_S = 1.0
 # The primary is back, with its log, after this time.
 _CRASH_S = 7.0
-_LAPSE_S = 3.6
 _END_S = 4.0
 _WRITE_PAUSE_S = 0.02
 _MS = 1000
@@ -38,8 +37,8 @@
         await anyio.sleep(_CALM_S)
         await self._crash_primary()
         if self._has_trouble:
-            await self._restart(REPLICAS[0])
-        await self.stage.let_lapse()
+            tasks.start_soon(self._restart, REPLICAS[0])
+        await self.stage.let_lapse(PRIMARY)
         await self._recover()
 
     def list_breaks(self) -> list[str]:
@@ -85,18 +84,16 @@
         await anyio.sleep(_DOWN_S)
         endpoint = self.stage.group.instances[endpoint_id]
         self.stage.group.restart(endpoint, int(time.time() * _MS))
-        self.stage.platform.register_all()
-        self.stage.note('{0} starts and registers'.format(endpoint_id))
+        self.stage.register(endpoint_id)
 
     async def _recover(self) -> None:
         """Bring the primary back with its log, and watch what follows."""
-        await anyio.sleep(_CRASH_S - _LAPSE_S)
+        await anyio.sleep(_CRASH_S - LAPSE_S)
         self.stage.group.deaf.clear()
         primary = self.stage.group.instances[PRIMARY]
         primary.is_up = True
         primary.is_primary = primary is self.stage.group.newest_primary
-        self.stage.platform.register_all()
-        self.stage.note('{0} is back with its log'.format(PRIMARY))
+        self.stage.register(PRIMARY)
         await anyio.sleep(_END_S)
 
 
--- a/review/standin2/case_empty_restart.py
+++ b/review/standin2/case_empty_restart.py
@@ -98,8 +98,7 @@
         await anyio.sleep(_DOWN_S)
         primary = self.stage.group.instances[PRIMARY]
         self.stage.group.restart(primary, int(time.time() * _MS))
-        self.stage.platform.register_all()
-        self.stage.note('{0} starts and registers'.format(PRIMARY))
+        self.stage.register(PRIMARY)
 
 
 if __name__ == '__main__':
--- a/review/standin2/case_late_promotion.py
+++ b/review/standin2/case_late_promotion.py
@@ -38,7 +38,7 @@
             tasks.start_soon(client.run, b'WRITE k v', _WRITE_PAUSE_S)
         await anyio.sleep(_CALM_S)
         await self.stage.end_process(PRIMARY)
-        await self.stage.let_lapse()
+        await self.stage.let_lapse(PRIMARY)
         await anyio.sleep(_RUN_S)
 
     def list_breaks(self) -> list[str]:
--- a/review/standin2/stage.py
+++ b/review/standin2/stage.py
@@ -7,23 +7,28 @@
 from typing import final
 
 import anyio
+import msgspec
 from anyio.abc import TaskGroup
 
 from benchmarks.soak.networkfaults import FaultInjector
-from catkincrank.platform.documents import CONFIG_KEY, CONFIG_TABLE
+from catkincrank.platform.documents import (
+    CONFIG_KEY,
+    CONFIG_TABLE,
+    ROSTER_TABLE,
+)
 from catkincrank.platform.standin import PlatformStandIn
 from catkincrank.platform.trial import ENDPOINTS, SERVICE, make_config
 from review.standin2.cloud import Cloud
 from review.standin2.gateways import GatewayProcess
 from review.standin2.group import AsyncGroup
 
-__all__ = ('PRIMARY', 'REPLICAS', 'Stage')
+__all__ = ('LAPSE_S', 'PRIMARY', 'REPLICAS', 'Stage')
 
 PRIMARY, *REPLICAS = ENDPOINTS
 _GATEWAYS = ('vm-1', 'vm-2', 'vm-3')
 _START_LIMIT_S = 40.0
 # Registrations lapse after three heartbeat intervals.
-_LAPSE_S = 3.6
+LAPSE_S = 3.6
 
 
 def _be_prompt(_call: int) -> float:
@@ -95,10 +100,30 @@
         await self._injectors[endpoint_id].reset()
         self.note('{0} ends'.format(endpoint_id))
 
-    async def let_lapse(self) -> None:
-        """Remove the registrations of endpoints that are down, when due."""
-        await anyio.sleep(_LAPSE_S)
-        self.platform.register_all()
+    async def let_lapse(self, endpoint_id: str) -> None:
+        """Remove the registration of an endpoint that is down, when due."""
+        await anyio.sleep(LAPSE_S)
+        self._write_row(endpoint_id, None)
+        self.note('the registration of {0} lapses'.format(endpoint_id))
+
+    def register(self, endpoint_id: str) -> None:
+        """Write the registration of an endpoint that has started."""
+        instance = self.group.instances[endpoint_id]
+        port = self._injectors[endpoint_id].port
+        registration = {
+            'service': SERVICE,
+            'address': '127.0.0.1:{0}'.format(port),
+            'zone': 'zone-a',
+            'version': 'v1',
+            'slots': 3,
+            'state': 'ready',
+            'db_role': 'primary' if instance.is_primary else 'replica',
+            'cold_remaining_ms': 0,
+            'seq': 1,
+            'born': instance.born_ms,
+        }
+        self._write_row(endpoint_id, msgspec.json.encode(registration))
+        self.note('{0} has started and registers'.format(endpoint_id))
 
     def note(self, event: str) -> None:
         """Record an event."""
@@ -134,5 +159,8 @@
             gateway.start()
             self.gateways.append(gateway)
 
+    def _write_row(self, endpoint_id: str, body: bytes | None) -> None:
+        self.platform.rows.write(ROSTER_TABLE, [], {endpoint_id: body})
+
     def _find_port(self, name: str) -> int:
         return self.platform.ports[name]
